Set down the workspace, the core types and one path from end to end

Change: libraries and programs as installable packages; result codes, settings options, messages between processes, the engine client, the sidecar, the gateway and HTTP front of the entry, and a stand-in engine. Conclusion: asyncio streams carry the messages; pycapnp is the codec.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Every target makes its own virtual environment first.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := $(sort $(wildcard libs/*/pyproject.toml apps/*/pyproject.toml))
+INSTALLED := $(VENV)/.installed
+
+.PHONY: install test lint format demo clean
+
+install: $(INSTALLED)
+
+$(INSTALLED): requirements-dev.txt $(PACKAGES)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q setuptools wheel -r requirements-dev.txt
+	$(BIN)/pip install -q --no-build-isolation \
+	  $(foreach p,$(PACKAGES),-e $(patsubst %/,%,$(dir $(p))))
+	touch $@
+
+lint: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+format: install
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+test: lint
+	$(BIN)/pytest
+
+demo: install
+	$(BIN)/python -m shallotstand.standins.demo
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/apps/cli/src/shallotstand/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command."""
--- /dev/null
+++ b/apps/controller/src/shallotstand/controller/__init__.py
@@ -0,0 +1,1 @@
+"""Leases, orders, usage reports and the administration API."""
--- /dev/null
+++ b/apps/entry/src/shallotstand/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process in front of callers and trainers."""
--- /dev/null
+++ b/apps/entry/src/shallotstand/entry/gateway.py
@@ -0,0 +1,401 @@
+"""Serves callers' requests; knows nothing of HTTP servers."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable, Mapping
+from typing import Any, NamedTuple
+
+import orjson
+from shallotstand.core.activity import Activity
+from shallotstand.core.clock import Clock
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.core.ids import new_id
+from shallotstand.entry.sidecars import Fleet, RemoteEndpoint
+from shallotstand.entry.streams import AnswerStream
+from shallotstand.link.messages import Request
+from shallotstand.objects.keys import KeyRing
+from shallotstand.objects.types import Catalog, ClientAccount, Key, Service
+from shallotstand.serving.admission import Admission, Permit, Ticket
+from shallotstand.serving.fingerprint import fingerprint
+from shallotstand.serving.retries import RetryPolicy
+from shallotstand.serving.routing import RouteQuery, Router
+
+_COMPLETION_PATHS = frozenset({"/v1/completions", "/v1/chat/completions"})
+# Plain services carry no tokens; a request counts as much as a short answer.
+_PLAIN_COST_TOKENS = 16
+_DEFAULT_MAX_TOKENS = 256
+_CHARS_PER_TOKEN = 4
+_PRIORITIES = {"interactive": 1, "rollout": 0}
+
+
+class CallerRequest(NamedTuple):
+    """A request as a front end received it.
+
+    Attributes:
+      path: Path that the caller asked for.
+      key: The caller's key; empty if it sent none.
+      body: Body of the request.
+      priority: `interactive` or `rollout`.
+      request_id: Identifier for logs; new if the caller sent none.
+    """
+
+    path: str
+    key: str
+    body: bytes
+    priority: str = "interactive"
+    request_id: str = ""
+
+
+class Route(NamedTuple):
+    """Where a request goes.
+
+    Attributes:
+      service: The service that was called.
+      path: Path at the endpoint.
+      fields: The decoded JSON body; empty for bodies that are none.
+      whole_answer: Whether the caller wants the answer in one piece.
+    """
+
+    service: Service
+    path: str
+    fields: Mapping[str, Any]
+    whole_answer: bool
+
+
+class Principal(NamedTuple):
+    """For whom a request runs; both are None on open services."""
+
+    account: ClientAccount | None
+    key: Key | None
+
+
+class OpenAnswer:
+    """An answer of which the first part has arrived.
+
+    Attributes:
+      status: HTTP status of the endpoint.
+      content_type: Content type of the body.
+    """
+
+    def __init__(
+        self,
+        stream: AnswerStream,
+        endpoint: RemoteEndpoint,
+        permit: Permit,
+        on_close: Callable[["OpenAnswer"], None],
+    ):
+        self.status = stream.head.status or 200
+        self.content_type = stream.head.content_type
+        self.stream = stream
+        self._endpoint = endpoint
+        self._permit = permit
+        self._on_close = on_close
+        self._closed = False
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether nothing follows the first part."""
+        return self.stream.last is not None
+
+    async def chunks(self) -> AsyncIterator[bytes | Failure]:
+        """Yields the body; a Failure comes last if the answer was cut."""
+        async for chunk in self.stream.chunks():
+            yield chunk
+
+    def cut(self, code: ResultCode, reason: str) -> None:
+        """Ends the answer early, such as when its key is withdrawn."""
+        self._endpoint.sidecar.cut_stream(self.stream, code, reason)
+
+    def close(self) -> None:
+        """Ends the answer; the request is cancelled if it still runs."""
+        if self._closed:
+            return
+        self._closed = True
+        self._endpoint.in_flight -= 1
+        self._endpoint.sidecar.close_stream(self.stream)
+        self._permit.release(self.stream.tokens)
+        self._on_close(self)
+
+
+class Gateway:
+    """Authenticates, admits, routes and retries requests.
+
+    Attributes:
+      activity: Requests that have arrived and not ended.
+      refusal: Why new requests are refused; None while they are served.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        fleet: Fleet,
+        router: Router,
+        admission: Admission,
+        retries: RetryPolicy,
+        clock: Clock,
+    ):
+        self._zone = zone
+        self._fleet = fleet
+        self._router = router
+        self._admission = admission
+        self._retries = retries
+        self._clock = clock
+        self._catalog = Catalog.empty()
+        self._keys = KeyRing(())
+        self._answers_by_key: dict[str, set[OpenAnswer]] = {}
+        self.activity = Activity()
+        self.refusal: Failure | None = None
+
+    def adopt(self, catalog: Catalog) -> None:
+        """Serves by a new configuration from now on.
+
+        Answers in progress whose key was withdrawn are cut.
+        """
+        withdrawn = self._catalog.keys_by_name.keys() - catalog.keys_by_name
+        self._catalog = catalog
+        self._keys = KeyRing(catalog.keys_by_name.values())
+        for name in withdrawn:
+            for answer in tuple(self._answers_by_key.get(name, ())):
+                answer.cut(
+                    ResultCode.STREAM_KEY_WITHDRAWN, "The key was withdrawn."
+                )
+
+    async def serve(self, request: CallerRequest) -> OpenAnswer | Failure:
+        """Runs a request until the first part of its answer has arrived.
+
+        Errors:
+          Any code from 1000 to 2099; the first hundred mean "not run".
+        """
+        if self.refusal is not None:
+            return self.refusal
+        self.activity.begin()
+        answer: OpenAnswer | Failure | None = None
+        try:
+            answer = await self._serve(request)
+        finally:
+            # An open answer ends the activity when it is closed.
+            if answer is None or isinstance(answer, Failure):
+                self.activity.end()
+        return answer
+
+    async def _serve(self, request: CallerRequest) -> OpenAnswer | Failure:
+        route = self._find_route(request)
+        if isinstance(route, Failure):
+            return route
+        principal = self._authenticate(request.key, route.service)
+        if isinstance(principal, Failure):
+            return principal
+        deadline = self._clock.monotonic() + route.service.deadline_s
+        permit = await self._admission.admit(
+            _ticket(route, principal, request.priority, deadline)
+        )
+        if isinstance(permit, Failure):
+            return permit
+        try:
+            opened = await self._attempt(request, route, principal, deadline)
+        except BaseException:
+            permit.release(0)
+            raise
+        if isinstance(opened, Failure):
+            permit.release(0)
+            return opened
+        return self._open(*opened, permit, principal)
+
+    def _open(
+        self,
+        stream: AnswerStream,
+        endpoint: RemoteEndpoint,
+        permit: Permit,
+        principal: Principal,
+    ) -> OpenAnswer:
+        key = principal.key.name if principal.key else ""
+        answers = self._answers_by_key.setdefault(key, set())
+
+        def on_close(answer: OpenAnswer) -> None:
+            answers.discard(answer)
+            self.activity.end()
+
+        answer = OpenAnswer(stream, endpoint, permit, on_close)
+        answers.add(answer)
+        return answer
+
+    def _find_route(self, request: CallerRequest) -> Route | Failure:
+        if request.path in _COMPLETION_PATHS:
+            return self._find_model_route(request)
+        for service in self._catalog.services_by_name.values():
+            if service.kind == "plain" and _is_below(
+                request.path, service.path
+            ):
+                return Route(
+                    service,
+                    request.path[len(service.path) :] or "/",
+                    {"body": request.body.hex()},
+                    whole_answer=True,
+                )
+        return Failure(ResultCode.ROUTE_UNKNOWN, "Nothing answers here.")
+
+    def _find_model_route(self, request: CallerRequest) -> Route | Failure:
+        try:
+            fields = orjson.loads(request.body)
+        except orjson.JSONDecodeError as error:
+            return Failure(ResultCode.BAD_REQUEST, f"Not JSON: {error}")
+        if not isinstance(fields, dict):
+            return Failure(ResultCode.BAD_REQUEST, "Not a JSON object.")
+        name = fields.get("model")
+        service = self._catalog.services_by_name.get(name)
+        if service is None or service.kind != "model":
+            return Failure(ResultCode.ROUTE_UNKNOWN, f"No model {name!r}.")
+        problem = _check_completion(fields)
+        if problem is not None:
+            return problem
+        return Route(
+            service, request.path, fields, not fields.get("stream", False)
+        )
+
+    def _authenticate(
+        self, secret: str, service: Service
+    ) -> Principal | Failure:
+        if service.open:
+            return Principal(None, None)
+        if not secret:
+            return Failure(ResultCode.KEY_MISSING, "Send a bearer key.")
+        key = self._keys.find(secret)
+        if key is None:
+            return Failure(ResultCode.KEY_UNKNOWN, "The key is not known.")
+        account = self._catalog.accounts_by_name[key.account]
+        if service.internal and not account.internal:
+            return Failure(
+                ResultCode.NOT_ALLOWED,
+                f"{service.name} is for internal client accounts.",
+            )
+        return Principal(account, key)
+
+    async def _attempt(
+        self,
+        request: CallerRequest,
+        route: Route,
+        principal: Principal,
+        deadline: float,
+    ) -> tuple[AnswerStream, RemoteEndpoint] | Failure:
+        """Sends the request to endpoints until one answers or none may."""
+        self._retries.on_request()
+        message = _message(request, route, principal)
+        excluded: frozenset[str] = frozenset()
+        while True:
+            left = deadline - self._clock.monotonic()
+            outcome = await self._send_once(message, route, excluded, left)
+            if not isinstance(outcome, Failure):
+                return outcome
+            delay = self._retries.delay(
+                outcome.code, route.service.idempotent, message.attempt, left
+            )
+            if delay is None:
+                return outcome
+            excluded |= {message.endpoint}
+            message = message._replace(attempt=message.attempt + 1)
+            await asyncio.sleep(delay)
+
+    async def _send_once(
+        self,
+        message: Request,
+        route: Route,
+        excluded: frozenset[str],
+        left_s: float,
+    ) -> tuple[AnswerStream, RemoteEndpoint] | Failure:
+        endpoints = self._fleet.endpoints(route.service.name)
+        chosen = self._router.choose(
+            [endpoint.candidate() for endpoint in endpoints.values()],
+            RouteQuery(self._zone, excluded=excluded),
+        )
+        if isinstance(chosen, Failure):
+            return chosen
+        endpoint = endpoints[chosen.name]
+        stream = endpoint.sidecar.open_stream(
+            message._replace(
+                endpoint=chosen.name, deadline_ms=max(0, int(left_s * 1000))
+            )
+        )
+        if isinstance(stream, Failure):
+            return stream
+        endpoint.in_flight += 1
+        started: Any = None
+        try:
+            async with asyncio.timeout(left_s):
+                started = await stream.start()
+        except TimeoutError:
+            started = Failure(
+                ResultCode.ENDPOINT_TIMEOUT, "No answer before the deadline."
+            )
+        finally:
+            # Also when the caller has gone and this task is cancelled.
+            if started is None or isinstance(started, Failure):
+                endpoint.in_flight -= 1
+                endpoint.sidecar.close_stream(stream)
+        if isinstance(started, Failure):
+            return started
+        return stream, endpoint
+
+
+def _is_below(path: str, prefix: str) -> bool:
+    return path == prefix or path.startswith(prefix.rstrip("/") + "/")
+
+
+def _check_completion(fields: Mapping[str, Any]) -> Failure | None:
+    """Checks the fields that shallotstand itself reads."""
+    max_tokens = fields.get("max_tokens", _DEFAULT_MAX_TOKENS)
+    if not isinstance(max_tokens, int) or max_tokens < 1:
+        return Failure(
+            ResultCode.BAD_REQUEST, "max_tokens must be a positive integer."
+        )
+    if not isinstance(fields.get("stream", False), bool):
+        return Failure(ResultCode.BAD_REQUEST, "stream must be a boolean.")
+    if "prompt" not in fields and "messages" not in fields:
+        return Failure(ResultCode.BAD_REQUEST, "The prompt is missing.")
+    return None
+
+
+def _cost(route: Route) -> float:
+    """Returns the tokens that a request is expected to use."""
+    if route.service.kind != "model":
+        return _PLAIN_COST_TOKENS
+    prompt = route.fields.get("prompt", "")
+    prompt_tokens = len(str(prompt)) / _CHARS_PER_TOKEN
+    return prompt_tokens + route.fields.get("max_tokens", _DEFAULT_MAX_TOKENS)
+
+
+def _ticket(
+    route: Route, principal: Principal, priority: str, deadline: float
+) -> Ticket:
+    account = principal.account
+    return Ticket(
+        service=route.service.name,
+        account=account.name if account else "",
+        weight=account.weight if account else 1.0,
+        cost=_cost(route),
+        priority=priority,
+        deadline=deadline,
+        max_queue=route.service.max_queue,
+        max_concurrency=account.max_concurrency if account else 0,
+        tokens_per_second=account.tokens_per_second if account else 0,
+    )
+
+
+def _message(
+    request: CallerRequest, route: Route, principal: Principal
+) -> Request:
+    """Builds the message for the sidecar; the caller's key is not in it."""
+    return Request(
+        stream=0,
+        request_id=request.request_id or new_id(),
+        attempt=1,
+        endpoint="",
+        account=principal.account.name if principal.account else "",
+        path=route.path,
+        body=request.body,
+        deadline_ms=0,
+        priority=_PRIORITIES[request.priority],
+        flush_ms=route.service.flush_ms,
+        whole_answer=route.whole_answer,
+        fingerprint=fingerprint(route.service.name, route.path, route.fields),
+        not_run_statuses=route.service.not_run_statuses,
+    )
--- /dev/null
+++ b/apps/entry/src/shallotstand/entry/http_front.py
@@ -0,0 +1,150 @@
+"""The HTTP front for callers, over the gateway."""
+
+from collections.abc import Mapping
+
+import orjson
+from sanic import Request as HttpRequest
+from sanic import Sanic
+from sanic.exceptions import PayloadTooLarge, RequestTimeout, SanicException
+from sanic.response import HTTPResponse, raw
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.entry.gateway import CallerRequest, Gateway, OpenAnswer
+from shallotstand.entry.settings import EntrySettings
+
+_JSON = "application/json"
+_BEARER = "bearer "
+_EVENT_STREAM = "text/event-stream"
+_PRIORITIES = frozenset({"interactive", "rollout"})
+
+
+def make_app(settings: EntrySettings, gateway: Gateway) -> Sanic:
+    """Returns the application that serves callers."""
+    app = Sanic("shallotstand-entry", configure_logging=False)
+    app.config.REQUEST_MAX_SIZE = settings.max_body_bytes
+    app.config.REQUEST_TIMEOUT = settings.request_timeout_s
+    app.config.RESPONSE_TIMEOUT = settings.shutdown_deadline_s
+    # Sanic rewrites its own methods, which works for one app in a process.
+    app.config.TOUCHUP = False
+    app.config.FALLBACK_ERROR_FORMAT = "json"
+
+    @app.exception(PayloadTooLarge)
+    async def too_large(*_: object) -> HTTPResponse:
+        return failure_response(
+            Failure(ResultCode.BODY_TOO_LARGE, "The body is too large.")
+        )
+
+    @app.exception(RequestTimeout)
+    async def too_slow(*_: object) -> HTTPResponse:
+        return failure_response(
+            Failure(ResultCode.REQUEST_TIMEOUT, "The request came too slowly.")
+        )
+
+    @app.exception(SanicException)
+    async def refused(_: HttpRequest, error: SanicException) -> HTTPResponse:
+        code = (
+            ResultCode.ROUTE_UNKNOWN
+            if error.status_code == 404
+            else ResultCode.BAD_REQUEST
+        )
+        return failure_response(Failure(code, str(error)))
+
+    @app.exception(Exception)
+    async def fault(_: HttpRequest, error: Exception) -> HTTPResponse:
+        return failure_response(
+            Failure(ResultCode.INTERNAL, type(error).__name__)
+        )
+
+    @app.get("/health")
+    async def health(_: HttpRequest) -> HTTPResponse:
+        if gateway.refusal is not None:
+            return failure_response(gateway.refusal)
+        return raw(b"{}", content_type=_JSON)
+
+    @app.route("/<path:path>", methods=["GET", "POST"])
+    async def call(
+        request: HttpRequest,
+        path: str,
+    ) -> HTTPResponse | None:
+        caller_request = _caller_request(request, path)
+        if isinstance(caller_request, Failure):
+            return failure_response(caller_request)
+        answer = await gateway.serve(caller_request)
+        if isinstance(answer, Failure):
+            return failure_response(answer)
+        try:
+            return await _pass_on(request, answer)
+        finally:
+            answer.close()
+
+    return app
+
+
+def failure_response(failure: Failure) -> HTTPResponse:
+    """Returns the HTTP answer for a failure."""
+    headers = {"X-Result-Code": str(int(failure.code))}
+    if failure.info.http_status in (429, 503):
+        headers["Retry-After"] = "1"
+    return raw(
+        orjson.dumps(failure.to_json()),
+        status=failure.info.http_status,
+        headers=headers,
+        content_type=_JSON,
+    )
+
+
+def bearer_key(headers: Mapping[str, str]) -> str:
+    """Returns the key of an Authorization header; empty if there is none."""
+    value = headers.get("authorization", "")
+    if value[: len(_BEARER)].lower() != _BEARER:
+        return ""
+    return value[len(_BEARER) :].strip()
+
+
+def _caller_request(request: HttpRequest, path: str) -> CallerRequest | Failure:
+    priority = request.headers.get("x-priority", "interactive")
+    if priority not in _PRIORITIES:
+        return Failure(
+            ResultCode.BAD_REQUEST, "X-Priority is interactive or rollout."
+        )
+    return CallerRequest(
+        path="/" + path,
+        key=bearer_key(request.headers),
+        body=request.body,
+        priority=priority,
+    )
+
+
+async def _pass_on(
+    request: HttpRequest, answer: OpenAnswer
+) -> HTTPResponse | None:
+    if answer.is_whole:
+        return raw(
+            answer.stream.head.data,
+            status=answer.status,
+            content_type=answer.content_type,
+        )
+    response = await request.respond(
+        status=answer.status, content_type=answer.content_type
+    )
+    async for chunk in answer.chunks():
+        if isinstance(chunk, Failure):
+            await _end_cut_answer(request, response, answer, chunk)
+            return None
+        await response.send(chunk)
+    await response.eof()
+    return None
+
+
+async def _end_cut_answer(
+    request: HttpRequest,
+    response: HTTPResponse,
+    answer: OpenAnswer,
+    failure: Failure,
+) -> None:
+    """Makes sure that the caller can't take a cut answer for a whole one."""
+    if answer.content_type == _EVENT_STREAM:
+        event = b"data: " + orjson.dumps(failure.to_json()) + b"\n\n"
+        await response.send(event)
+    # Without the last chunk the HTTP client sees an incomplete body.
+    request.transport.abort()
--- /dev/null
+++ b/apps/entry/src/shallotstand/entry/sidecars.py
@@ -0,0 +1,244 @@
+"""Connections from sidecars and the endpoints behind them."""
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import Callable
+from typing import NamedTuple
+
+from absl import logging
+from shallotstand.core import logs
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.entry.streams import AnswerStream
+from shallotstand.link.link import Link
+from shallotstand.link.messages import (
+    Cancel,
+    Chunks,
+    Crash,
+    EndpointInfo,
+    EndpointLoad,
+    Frame,
+    Frames,
+    Hello,
+    Load,
+    Ping,
+    Request,
+    Submit,
+)
+from shallotstand.serving.routing import Candidate
+
+SILENCE_LIMIT_S = 10.0
+SUSPECT_SILENCE_S = 3.0
+
+
+class RemoteEndpoint:
+    """An endpoint behind a connected sidecar.
+
+    Attributes:
+      info: What the sidecar said of it at first.
+      report: Its last load report.
+      in_flight: Requests of this entry that have not ended.
+      in_flight_at_report: The same when the last report arrived.
+    """
+
+    def __init__(self, info: EndpointInfo, sidecar: "SidecarConnection"):
+        self.info = info
+        self.sidecar = sidecar
+        self.report = EndpointLoad(info.name, version=info.version)
+        self.in_flight = 0
+        self.in_flight_at_report = 0
+
+    def take_report(self, report: EndpointLoad) -> None:
+        """Takes a load report."""
+        self.report = report
+        self.in_flight_at_report = self.in_flight
+
+    def candidate(self) -> Candidate:
+        """Returns the endpoint as the router sees it."""
+        return Candidate(
+            name=self.info.name,
+            zone=self.info.zone,
+            state="suspected" if self.sidecar.is_silent else self.report.state,
+            version=self.report.version,
+            reported=self.report.running + self.report.queued,
+            in_flight=self.in_flight,
+            in_flight_at_report=self.in_flight_at_report,
+            slots=self.report.slots,
+        )
+
+
+class SidecarConnection:
+    """One connection from a sidecar and the streams on it."""
+
+    def __init__(self, link: Link, hello: Hello):
+        self.hello = hello
+        self.endpoints_by_name = {
+            info.name: RemoteEndpoint(info, self) for info in hello.endpoints
+        }
+        self._link = link
+        self._numbers = itertools.count(1)
+        self._streams_by_number: dict[int, AnswerStream] = {}
+        self._unsent: list[Request] = []
+        self._heard_at = asyncio.get_running_loop().time()
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether the sidecar has missed its last pings."""
+        now = asyncio.get_running_loop().time()
+        return now - self._heard_at > SUSPECT_SILENCE_S
+
+    def open_stream(self, request: Request) -> AnswerStream | Failure:
+        """Sends a request with the next turn of the event loop.
+
+        Errors:
+          NO_ENDPOINT: The connection is closed; nothing was sent.
+        """
+        if not self._link.is_open:
+            return Failure(ResultCode.NO_ENDPOINT, "The sidecar has gone.")
+        stream = AnswerStream(next(self._numbers))
+        self._streams_by_number[stream.number] = stream
+        if not self._unsent:
+            asyncio.get_running_loop().call_soon(self._submit)
+        self._unsent.append(request._replace(stream=stream.number))
+        return stream
+
+    def close_stream(self, stream: AnswerStream) -> None:
+        """Ends a stream; the request is cancelled unless it has ended."""
+        open_stream = self._streams_by_number.pop(stream.number, None)
+        if open_stream is not None:
+            self._link.send(Cancel((stream.number,)))
+
+    def cut_stream(
+        self, stream: AnswerStream, code: ResultCode, reason: str
+    ) -> None:
+        """Ends a stream with a result code and cancels the request."""
+        if self._streams_by_number.pop(stream.number, None) is not None:
+            self._link.send(Cancel((stream.number,)))
+            stream.put(Frame(stream.number, end=True, code=code, reason=reason))
+
+    def _submit(self) -> None:
+        requests, self._unsent = tuple(self._unsent), []
+        if not self._link.send(Submit(requests)):
+            for request in requests:
+                self._end(
+                    request.stream,
+                    ResultCode.NO_ENDPOINT,
+                    "The sidecar has gone.",
+                )
+
+    async def read(self, fleet: "Fleet") -> None:
+        """Handles the sidecar's messages until the connection ends."""
+        messages = self._link.messages()
+        with contextlib.suppress(StopAsyncIteration, TimeoutError):
+            while True:
+                async with asyncio.timeout(SILENCE_LIMIT_S):
+                    message = await anext(messages)
+                self._heard_at = asyncio.get_running_loop().time()
+                match message:
+                    case Chunks(chunks):
+                        for chunk in chunks:
+                            if s := self._streams_by_number.get(chunk.stream):
+                                s.put(chunk)
+                    case Frames(frames):
+                        for frame in frames:
+                            self._take_frame(frame)
+                    case Load(endpoints):
+                        for report in endpoints:
+                            self._take_report(report, fleet)
+                    case Crash():
+                        fleet.on_crash(message)
+                    case Ping():
+                        pass
+
+    def end_all(self) -> None:
+        """Ends every stream after the connection was lost."""
+        for number in list(self._streams_by_number):
+            self._end(
+                number, ResultCode.LINK_LOST, "The sidecar's link was lost."
+            )
+
+    def _take_frame(self, frame: Frame) -> None:
+        stream = self._streams_by_number.get(frame.stream)
+        if stream is None:
+            return  # the caller has gone; the sidecar had not heard of it yet
+        if frame.end:
+            del self._streams_by_number[frame.stream]
+        stream.put(frame)
+
+    def _take_report(self, report: EndpointLoad, fleet: "Fleet") -> None:
+        endpoint = self.endpoints_by_name.get(report.name)
+        if endpoint is not None:
+            endpoint.take_report(report)
+            fleet.on_capacity(endpoint.info.service)
+
+    def _end(self, number: int, code: ResultCode, reason: str) -> None:
+        stream = self._streams_by_number.pop(number, None)
+        if stream is not None:
+            stream.put(Frame(number, end=True, code=code, reason=reason))
+
+
+class FleetListener(NamedTuple):
+    """What the fleet calls when something changes.
+
+    Attributes:
+      capacity: Called as capacity(service, slots).
+      crash: Called as crash(message) with a Crash message.
+    """
+
+    capacity: Callable[[str, int], None]
+    crash: Callable[[Crash], None]
+
+
+class Fleet:
+    """All endpoints that are connected to this entry."""
+
+    def __init__(self, listener: FleetListener):
+        self._listener = listener
+        self._connections_by_id: dict[str, SidecarConnection] = {}
+
+    async def serve(self, link: Link, hello: Hello) -> None:
+        """Keeps a sidecar's connection until it ends."""
+        connection = SidecarConnection(link, hello)
+        self._connections_by_id[hello.process_id] = connection
+        logs.event(
+            logging.INFO,
+            "Sidecar connected",
+            sidecar=hello.process_id,
+            endpoints=list(connection.endpoints_by_name),
+        )
+        try:
+            await connection.read(self)
+        finally:
+            if self._connections_by_id.get(hello.process_id) is connection:
+                del self._connections_by_id[hello.process_id]
+            connection.end_all()
+            for service in {e.service for e in hello.endpoints}:
+                self.on_capacity(service)
+            logs.event(
+                logging.WARNING,
+                "Sidecar disconnected",
+                sidecar=hello.process_id,
+            )
+
+    def endpoints(self, service: str) -> dict[str, RemoteEndpoint]:
+        """Returns the connected endpoints of a service by name."""
+        return {
+            name: endpoint
+            for connection in self._connections_by_id.values()
+            for name, endpoint in connection.endpoints_by_name.items()
+            if endpoint.info.service == service
+        }
+
+    def on_capacity(self, service: str) -> None:
+        """Tells the listener how many requests a service runs at once."""
+        slots = sum(
+            endpoint.report.slots
+            for endpoint in self.endpoints(service).values()
+            if endpoint.report.state == "live"
+        )
+        self._listener.capacity(service, slots)
+
+    def on_crash(self, crash: Crash) -> None:
+        """Tells the listener that an endpoint ended."""
+        self._listener.crash(crash)
--- /dev/null
+++ b/apps/load/src/shallotstand/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load generator with bounded runs."""
--- /dev/null
+++ b/apps/sidecar/src/shallotstand/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each endpoint instance."""
--- /dev/null
+++ b/apps/standins/src/shallotstand/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, engines and plain services."""
--- /dev/null
+++ b/libs/control/src/shallotstand/control/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration adoption, sessions, scopes, membership and usage."""
--- /dev/null
+++ b/libs/core/src/shallotstand/core/__init__.py
@@ -0,0 +1,1 @@
+"""Result codes, clocks, identifiers, logging and metrics."""
--- /dev/null
+++ b/libs/engine/src/shallotstand/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The engine protocol and its OpenAI-compatible client."""
--- /dev/null
+++ b/libs/link/src/shallotstand/link/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and connections between shallotstand processes."""
--- /dev/null
+++ b/libs/link/src/shallotstand/link/codec.py
@@ -0,0 +1,121 @@
+"""Conversion between typed messages and Cap'n Proto bytes."""
+
+import functools
+import pathlib
+import types
+import typing
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import capnp
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.link import messages
+from shallotstand.link.messages import Message
+
+# pycapnp installs an import hook by default; a plain load is enough here.
+capnp.remove_import_hook()
+_SCHEMA = capnp.load(str(pathlib.Path(__file__).with_name("messages.capnp")))
+
+# A message that encodes to more than this is refused by the receiver. Words
+# are 8 bytes; the traversal limit stops small messages that expand on reading.
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+_TRAVERSAL_LIMIT_WORDS = MAX_MESSAGE_BYTES
+
+
+class _Field(NamedTuple):
+    """How to convert one field of a message.
+
+    Attributes:
+      wire_name: Name of the field in the schema.
+      read: Converts the schema's value into the NamedTuple's.
+      write: Converts the NamedTuple's value into the schema's.
+    """
+
+    wire_name: str
+    read: Callable[[Any], Any]
+    write: Callable[[Any], Any]
+
+
+def encode(message: Message) -> bytes:
+    """Returns the bytes of a message."""
+    envelope = _SCHEMA.Envelope.new_message(
+        **{_wire_name(type(message).__name__): _to_wire(message)}
+    )
+    return envelope.to_bytes()
+
+
+def decode(data: bytes) -> Message | Failure:
+    """Returns the message in the bytes.
+
+    Errors:
+      BAD_FRAME: The bytes are no message of this schema.
+    """
+    try:
+        with _SCHEMA.Envelope.from_bytes(
+            data, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
+        ) as envelope:
+            name = envelope.which()
+            return _from_wire(getattr(envelope, name), _TYPE_BY_NAME[str(name)])
+    except (capnp.KjException, KeyError, ValueError) as error:
+        return Failure(ResultCode.BAD_FRAME, type(error).__name__)
+
+
+def _wire_name(name: str) -> str:
+    """Converts `ConfigAsk` or `config_ask` into `configAsk`."""
+    if "_" in name:
+        first, *rest = name.split("_")
+        return first + "".join(word.capitalize() for word in rest)
+    return name[0].lower() + name[1:]
+
+
+_TYPE_BY_NAME: dict[str, type] = {
+    _wire_name(message_type.__name__): message_type
+    for message_type in typing.get_args(Message)
+}
+
+
+def _to_wire(value: Any) -> dict[str, Any]:
+    fields = _fields(type(value))
+    return {
+        field.wire_name: field.write(item)
+        for field, item in zip(fields, value, strict=True)
+        if item  # defaults of the schema are zero and empty
+    }
+
+
+def _from_wire(reader: Any, message_type: type) -> Any:
+    return message_type(
+        *(
+            field.read(getattr(reader, field.wire_name))
+            for field in _fields(message_type)
+        )
+    )
+
+
+@functools.cache
+def _fields(message_type: type) -> tuple[_Field, ...]:
+    hints = typing.get_type_hints(message_type, vars(messages))
+    return tuple(
+        _Field(_wire_name(name), *_converters(hints[name]))
+        for name in message_type._fields
+    )
+
+
+def _converters(hint: Any) -> tuple[Callable, Callable]:
+    """Returns the functions that read and write a field of this type."""
+    if isinstance(hint, types.GenericAlias):
+        item = typing.get_args(hint)[0]
+        if hasattr(item, "_fields"):
+            return (
+                lambda values: tuple(_from_wire(v, item) for v in values),
+                lambda values: [_to_wire(v) for v in values],
+            )
+        return tuple, list
+    if hint is bytes:
+        return bytes, bytes
+    return _same, _same
+
+
+def _same(value: Any) -> Any:
+    return value
--- /dev/null
+++ b/libs/link/src/shallotstand/link/link.py
@@ -0,0 +1,109 @@
+"""One connection to another shallotstand process."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.link.codec import MAX_MESSAGE_BYTES, decode, encode
+from shallotstand.link.messages import Message
+
+_LENGTH_BYTES = 4
+# A peer that has not read this much is cut off; it must not hold memory here.
+_MAX_UNSENT_BYTES = 16 * 1024 * 1024
+_CLOSE_TIMEOUT_S = 2.0
+
+
+class Link:
+    """Sends and receives messages over a stream connection.
+
+    Each message stands behind its length, four bytes, little-endian. One task
+    reads with `messages`; any task may call `send`, which never waits.
+
+    Attributes:
+      peer_address: Host and port of the other side, for log lines.
+      bytes_sent: Bytes handed to the kernel or queued for it.
+      bytes_received: Bytes of whole messages received.
+      failure: Why the link ended, if it did not end cleanly.
+    """
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ):
+        self._reader = reader
+        self._writer = writer
+        host, port = writer.get_extra_info("peername")[:2]
+        self.peer_address = f"{host}:{port}"
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self.failure: Failure | None = None
+
+    @classmethod
+    async def connect(
+        cls, host: str, port: int, timeout_s: float = 3.0
+    ) -> "Link | Failure":
+        """Opens a connection to a process that listens.
+
+        Errors:
+          LINK_LOST: Nobody answers at the address.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                return cls(*await asyncio.open_connection(host, port))
+        except (OSError, TimeoutError) as error:
+            return Failure(ResultCode.LINK_LOST, f"{host}:{port}: {error}")
+
+    @property
+    def is_open(self) -> bool:
+        """Whether messages can still be sent."""
+        return not self._writer.is_closing()
+
+    def send(self, message: Message) -> bool:
+        """Queues a message.
+
+        Returns:
+          False if the link is closed; the message was then not sent.
+        """
+        if not self.is_open:
+            return False
+        body = encode(message)
+        self._writer.writelines(
+            (len(body).to_bytes(_LENGTH_BYTES, "little"), body)
+        )
+        self.bytes_sent += _LENGTH_BYTES + len(body)
+        if self._writer.transport.get_write_buffer_size() > _MAX_UNSENT_BYTES:
+            self.failure = Failure(
+                ResultCode.PEER_SLOW, "The peer does not read its messages."
+            )
+            self._writer.transport.abort()
+            return False
+        return True
+
+    async def messages(self) -> AsyncIterator[Message]:
+        """Yields messages until the link ends; see `failure` for the reason."""
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            while True:
+                header = await self._reader.readexactly(_LENGTH_BYTES)
+                length = int.from_bytes(header, "little")
+                if length > MAX_MESSAGE_BYTES:
+                    self._abort(ResultCode.FRAME_TOO_LARGE, f"{length} bytes")
+                    return
+                body = await self._reader.readexactly(length)
+                self.bytes_received += _LENGTH_BYTES + length
+                message = decode(body)
+                if isinstance(message, Failure):
+                    self._abort(message.code, message.reason)
+                    return
+                yield message
+
+    def _abort(self, code: ResultCode, reason: str) -> None:
+        self.failure = Failure(code, reason)
+        self._writer.transport.abort()
+
+    async def close(self) -> None:
+        """Sends what is queued and closes the connection."""
+        self._writer.close()
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(_CLOSE_TIMEOUT_S):
+                await self._writer.wait_closed()
--- /dev/null
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -0,0 +1,201 @@
+@0xd3a1c0f5b7e94a61;
+# Messages between shallotstand processes. Fields are only ever added, so that
+# processes of neighbouring releases understand each other during an upgrade.
+
+struct Span {
+  version @0 :Text;
+  tokens @1 :UInt32;
+}
+
+struct EndpointInfo {
+  name @0 :Text;
+  service @1 :Text;
+  zone @2 :Text;
+  incarnation @3 :Text;
+  version @4 :Text;
+}
+
+struct Peer {
+  processId @0 :Text;
+  role @1 :Text;
+  zone @2 :Text;
+  host @3 :Text;
+  port @4 :UInt16;
+}
+
+struct Hello {
+  processId @0 :Text;
+  role @1 :Text;
+  zone @2 :Text;
+  incarnation @3 :Text;
+  revision @4 :UInt64;
+  roster @5 :List(Peer);
+  endpoints @6 :List(EndpointInfo);
+  suspects @7 :List(Data);
+}
+
+struct Ping {
+  sequence @0 :UInt64;
+  revision @1 :UInt64;
+  monotonicMs @2 :UInt64;
+}
+
+struct Request {
+  stream @0 :UInt64;
+  requestId @1 :Text;
+  attempt @2 :UInt16;
+  endpoint @3 :Text;
+  account @4 :Text;
+  path @5 :Text;
+  body @6 :Data;
+  deadlineMs @7 :UInt32;
+  priority @8 :Int8;
+  flushMs @9 :UInt16;
+  wholeAnswer @10 :Bool;
+  suspect @11 :Bool;
+  fingerprint @12 :Data;
+  notRunStatuses @13 :List(UInt16);
+}
+
+struct Submit {
+  requests @0 :List(Request);
+}
+
+struct Frame {
+  stream @0 :UInt64;
+  status @1 :UInt16;
+  contentType @2 :Text;
+  data @3 :Data;
+  end @4 :Bool;
+  code @5 :UInt16;
+  reason @6 :Text;
+  spans @7 :List(Span);
+  promptTokens @8 :UInt32;
+  completionTokens @9 :UInt32;
+  record @10 :UInt64;
+}
+
+struct Chunk {
+  stream @0 :UInt64;
+  data @1 :Data;
+}
+
+struct Chunks {
+  chunks @0 :List(Chunk);
+}
+
+struct Frames {
+  frames @0 :List(Frame);
+}
+
+struct Cancel {
+  streams @0 :List(UInt64);
+}
+
+struct EndpointLoad {
+  name @0 :Text;
+  running @1 :UInt32;
+  queued @2 :UInt32;
+  slots @3 :UInt32;
+  freeBlocks @4 :UInt32;
+  version @5 :Text;
+  state @6 :Text;
+  added @7 :List(UInt64);
+  evicted @8 :List(UInt64);
+}
+
+struct Load {
+  endpoints @0 :List(EndpointLoad);
+}
+
+struct Crash {
+  endpoint @0 :Text;
+  incarnation @1 :Text;
+  fingerprints @2 :List(Data);
+}
+
+struct Config {
+  revision @0 :UInt64;
+  base @1 :UInt64;
+  digest @2 :Text;
+  content @3 :Data;
+}
+
+struct ConfigAsk {
+  revision @0 :UInt64;
+}
+
+struct ConfigHeld {
+  revision @0 :UInt64;
+}
+
+struct Withdraw {
+  keyHashes @0 :List(Data);
+}
+
+struct Order {
+  orderId @0 :Text;
+  scope @1 :Text;
+  epoch @2 :UInt64;
+  endpoint @3 :Text;
+  action @4 :Text;
+  argument @5 :Text;
+  expiresMs @6 :UInt64;
+}
+
+struct OrderResult {
+  orderId @0 :Text;
+  code @1 :UInt16;
+  reason @2 :Text;
+}
+
+struct UsageRecord {
+  number @0 :UInt64;
+  account @1 :Text;
+  service @2 :Text;
+  window @3 :UInt64;
+  promptTokens @4 :UInt32;
+  completionTokens @5 :UInt32;
+  requestId @6 :Text;
+}
+
+struct Usage {
+  source @0 :Text;
+  records @1 :List(UsageRecord);
+}
+
+struct UsageAck {
+  source @0 :Text;
+  number @1 :UInt64;
+}
+
+struct AccountShare {
+  account @0 :Text;
+  tokens @1 :UInt64;
+}
+
+struct Share {
+  accounts @0 :List(AccountShare);
+}
+
+struct Envelope {
+  union {
+    hello @0 :Hello;
+    ping @1 :Ping;
+    submit @2 :Submit;
+    frames @3 :Frames;
+    cancel @4 :Cancel;
+    load @5 :Load;
+    crash @6 :Crash;
+    config @7 :Config;
+    configAsk @8 :ConfigAsk;
+    configHeld @9 :ConfigHeld;
+    withdraw @10 :Withdraw;
+    order @11 :Order;
+    orderResult @12 :OrderResult;
+    usage @13 :Usage;
+    usageAck @14 :UsageAck;
+    share @15 :Share;
+    chunks @16 :Chunks;
+  }
+}
--- /dev/null
+++ b/libs/objects/src/shallotstand/objects/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration objects, the check of a whole set, and deltas."""
--- /dev/null
+++ b/libs/platform/src/shallotstand/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Protocols and clients of the platform services."""
--- /dev/null
+++ b/libs/rollout/src/shallotstand/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Rollout jobs: slots, samples, ledger and handover."""
--- /dev/null
+++ b/libs/serving/src/shallotstand/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Admission, fairness, routing, retries and quarantine."""
--- /dev/null
+++ b/libs/settings/src/shallotstand/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checked settings: option classes and a TOML loader."""
--- /dev/null
+++ b/libs/settings/src/shallotstand/settings/loader.py
@@ -0,0 +1,59 @@
+"""Reads a program's TOML settings and checks them whole."""
+
+import pathlib
+import tomllib
+from typing import Any
+
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import ErrorDetail, Failure
+from shallotstand.settings.options import Table
+
+
+def load_settings(path: str, table: Table) -> dict[str, Any] | Failure:
+    """Reads settings from a file.
+
+    Args:
+      path: Path of the TOML file.
+      table: Options that the program knows.
+
+    Returns:
+      A value for every option of the table.
+
+    Errors:
+      SETTINGS_INVALID: With one detail for every error of the file.
+    """
+    try:
+        document = tomllib.loads(pathlib.Path(path).read_text("utf-8"))
+    except (OSError, ValueError) as error:
+        return _invalid(
+            path,
+            (ErrorDetail(ResultCode.SETTINGS_INVALID, path, str(error)),),
+        )
+    checked = table.check(document, f"{path}: ", ResultCode.SETTINGS_INVALID)
+    if checked.errors:
+        return _invalid(path, checked.errors)
+    return checked.value
+
+
+def _invalid(path: str, details: tuple[ErrorDetail, ...]) -> Failure:
+    return Failure(
+        ResultCode.SETTINGS_INVALID,
+        f"{path} has {len(details)} error(s).",
+        details,
+    )
+
+
+def render_reference(table: Table, prefix: str = "") -> str:
+    """Returns Markdown rows that describe every option of a table."""
+    rows = []
+    for name, option in table.options_by_name.items():
+        item = getattr(option, "item", option)
+        required = not isinstance(option.default, str | int | float | tuple)
+        default = "required" if required else f"`{option.default}`"
+        rows.append(
+            f"| `{prefix}{name}` | {option.describe()} | {default} "
+            f"| {option.help} |\n"
+        )
+        if isinstance(item, Table):
+            rows.append(render_reference(item, f"{prefix}{name}."))
+    return "".join(rows)
--- /dev/null
+++ b/tests/test_thin_path.py
@@ -0,0 +1,172 @@
+"""One request from the gateway over a real link to an engine and back."""
+
+import asyncio
+import json
+import random
+import socket
+
+from shallotstand.core.clock import SystemClock
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.engine.http import HttpEngine
+from shallotstand.entry.gateway import CallerRequest, Gateway
+from shallotstand.entry.peer_server import PeerServer
+from shallotstand.entry.settings import EntrySettings
+from shallotstand.entry.sidecars import Fleet, FleetListener
+from shallotstand.objects.keys import hash_key
+from shallotstand.objects.types import (
+    Catalog,
+    ClientAccount,
+    Endpoint,
+    Key,
+    Service,
+)
+from shallotstand.serving.first_come import FirstComeAdmission
+from shallotstand.serving.retries import BudgetedRetries
+from shallotstand.serving.routing import LeastLoadedRouter
+from shallotstand.settings.options import Host
+from shallotstand.sidecar.endpoint import LocalEndpoint
+from shallotstand.sidecar.peers import Peers
+from shallotstand.sidecar.runner import Runner
+from shallotstand.sidecar.settings import EndpointSettings, SidecarSettings
+from shallotstand.sidecar.usage_log import UsageLog
+from shallotstand.standins.engine import EngineProfile, StandinEngine
+from shallotstand.standins.engine_http import make_engine_app
+
+CATALOG = Catalog.empty()._replace(
+    revision=1,
+    accounts_by_name={"club": ClientAccount("club", 1.0, 0, 0, False)},
+    keys_by_name={"club-1": Key("club-1", "club", hash_key("secret-1"))},
+    services_by_name={
+        "drafts": Service(
+            "drafts",
+            "model",
+            "drafts",
+            "",
+            False,
+            False,
+            (Endpoint("e1", "127.0.0.1", "peak-a", "i1"),),
+            True,
+            (429, 503),
+            10,
+            0,
+            100,
+            30.0,
+        )
+    },
+)
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+async def run_path(check) -> None:
+    """Starts engine, sidecar and entry parts, then runs the check."""
+    engine = StandinEngine(EngineProfile(token_s=0.001))
+    app = make_engine_app(f"engine{free_port()}", "drafts", engine)
+    engine_port, peer_port = free_port(), free_port()
+    http = await app.create_server(
+        "127.0.0.1", engine_port, return_asyncio_server=True, access_log=False
+    )
+    await http.startup()
+    clock = SystemClock()
+    admission = FirstComeAdmission(clock)
+    fleet = Fleet(FleetListener(admission.set_capacity, lambda _: None))
+    rng = random.Random(1)
+    gateway = Gateway(
+        "peak-a",
+        fleet,
+        LeastLoadedRouter(rng),
+        admission,
+        BudgetedRetries(rng),
+        clock,
+    )
+    address = Host("127.0.0.1", peer_port)
+    settings = EntrySettings(
+        "entry-1", "peak-a", "info", address, address, (address,), "",
+        1 << 20, 5.0, 5.0, True,
+    )  # fmt: skip
+    server = await PeerServer(settings, "inc", fleet, clock).start()
+    endpoint_settings = EndpointSettings(
+        "e1", "drafts", "model", f"http://127.0.0.1:{engine_port}"
+    )
+    endpoints = {
+        "e1": LocalEndpoint(
+            endpoint_settings, HttpEngine(endpoint_settings.url)
+        )
+    }
+    usage = UsageLog("sidecar-inc", 300)
+    peers = Peers(
+        SidecarSettings("s1", "peak-a", "info", 0, 5.0, 300, (address,), ()),
+        "sidecar-inc",
+        endpoints,
+        Runner(endpoints, usage, clock),
+        usage,
+        clock,
+    )
+    watcher = asyncio.create_task(endpoints["e1"].watch(peers.on_report))
+    peers.dial(address)
+    gateway.adopt(CATALOG)
+    async with asyncio.timeout(10):
+        while not any(
+            e.report.slots for e in fleet.endpoints("drafts").values()
+        ):
+            await asyncio.sleep(0.01)
+        await check(gateway, engine, usage)
+    watcher.cancel()
+    await peers.close()
+    await endpoints["e1"].engine.close()
+    server.close()
+    await http.close()
+
+
+def completion(key: str = "secret-1", **fields) -> CallerRequest:
+    body = {"model": "drafts", "prompt": "Survey leg 4", "max_tokens": 5}
+    return CallerRequest(
+        "/v1/completions", key, json.dumps(body | fields).encode()
+    )
+
+
+def test_whole_answer_names_its_weight_version():
+    async def check(gateway, engine, usage):
+        answer = await gateway.serve(completion())
+        body = json.loads(answer.stream.head.data)
+        answer.close()
+        assert body["weight_spans"] == [{"version": "v1", "tokens": 5}]
+        assert body["usage"]["completion_tokens"] == 5
+        assert [r.completion_tokens for r in usage.pending()] == [5]
+        assert "authorization" not in engine.headers_seen
+
+    asyncio.run(run_path(check))
+
+
+def test_streamed_answer_arrives_whole():
+    async def check(gateway, engine, usage):
+        answer = await gateway.serve(completion(stream=True))
+        chunks = [chunk async for chunk in answer.chunks()]
+        answer.close()
+        stream = b"".join(chunks)
+        assert stream.endswith(b"data: [DONE]\n\n")
+        assert stream.count(b'"finish_reason":null') == 5
+        assert answer.stream.last.completion_tokens == 5
+
+    asyncio.run(run_path(check))
+
+
+def test_refusals_before_routing_run_nothing():
+    async def check(gateway, engine, usage):
+        for request, code in (
+            (completion(key=""), ResultCode.KEY_MISSING),
+            (completion(key="other"), ResultCode.KEY_UNKNOWN),
+            (completion(model="none"), ResultCode.ROUTE_UNKNOWN),
+            (completion(max_tokens="x"), ResultCode.BAD_REQUEST),
+        ):
+            refused = await gateway.serve(request)
+            assert isinstance(refused, Failure)
+            assert refused.code == code
+        assert engine.runs == []
+
+    asyncio.run(run_path(check))
