Share one node class for peer connections; parse arguments by functions

Cause: sidecar and entry each had their own dialing, Hello and Ping code, and cappa can't fill a NamedTuple (AttributeError at start). Conclusion: programs only supply the coroutine that serves one peer.

--- a/apps/entry/src/shallotstand/entry/main.py
+++ b/apps/entry/src/shallotstand/entry/main.py
@@ -3,8 +3,7 @@
 import asyncio
 import random
 import signal
-import sys
-from typing import Annotated, NamedTuple
+from typing import Annotated
 
 import cappa
 import uvloop
@@ -16,25 +15,14 @@
 from shallotstand.core.ids import new_id
 from shallotstand.entry.gateway import Gateway
 from shallotstand.entry.http_front import make_app
-from shallotstand.entry.peer_server import PeerServer
 from shallotstand.entry.settings import TABLE, EntrySettings
 from shallotstand.entry.sidecars import Fleet, FleetListener
+from shallotstand.link.messages import Peer
+from shallotstand.link.node import Identity, Node, PeerConnection
 from shallotstand.serving.first_come import FirstComeAdmission
 from shallotstand.serving.retries import BudgetedRetries
 from shallotstand.serving.routing import LeastLoadedRouter
-from shallotstand.settings.loader import load_settings
-
-
-@cappa.command(
-    name="shallotstand-entry",
-    help="Serves callers and trainers.",
-)
-class Arguments(NamedTuple):
-    """Arguments of the command line."""
-
-    settings: Annotated[
-        str, cappa.Arg(long=True, help="Path of the TOML settings.")
-    ]
+from shallotstand.settings.loader import load_or_exit
 
 
 class Entry:
@@ -44,7 +32,6 @@
         clock = SystemClock()
         rng = random.Random()
         self.settings = settings
-        self.incarnation = new_id()
         self.admission = FirstComeAdmission(clock)
         self.fleet = Fleet(
             FleetListener(self.admission.set_capacity, lambda _: None)
@@ -57,9 +44,21 @@
             BudgetedRetries(rng),
             clock,
         )
-        self.peer_server = PeerServer(
-            settings, self.incarnation, self.fleet, clock
+        address = settings.peer_listen
+        identity = Identity(
+            settings.process_id,
+            "entry",
+            settings.zone,
+            new_id(),
+            Peer(
+                settings.process_id,
+                "entry",
+                settings.zone,
+                address.host,
+                address.port,
+            ),
         )
+        self.node = Node(identity, self._serve_peer, clock)
 
     @classmethod
     def from_config(cls, settings: EntrySettings) -> "Entry":
@@ -73,7 +72,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopping.set)
         app = make_app(self.settings, self.gateway)
-        peer_listener = await self.peer_server.start()
+        await self.node.listen()
+        for address in self.settings.entries:
+            self.node.dial(address.host, address.port)
         http_server = await app.create_server(
             host=self.settings.listen.host,
             port=self.settings.listen.port,
@@ -85,9 +86,17 @@
         await stopping.wait()
         await self._drain()
         await http_server.close()
-        peer_listener.close()
+        await self.node.close()
         logs.event(logging.INFO, "Stopped")
 
+    async def _serve_peer(self, peer: PeerConnection) -> None:
+        """Handles one peer until its connection ends."""
+        if peer.hello.role == "sidecar":
+            await self.fleet.serve(peer)
+            return
+        async for _ in peer.messages():
+            pass
+
     async def _drain(self) -> None:
         self.gateway.refusal = Failure(
             ResultCode.SHUTTING_DOWN, "This entry is shutting down."
@@ -95,23 +104,22 @@
         await self.gateway.activity.wait_idle(self.settings.shutdown_deadline_s)
 
 
-def main() -> None:
-    """Reads the settings and runs the program."""
-    arguments = cappa.parse(Arguments)
-    config = load_settings(arguments.settings, TABLE)
-    if isinstance(config, Failure):
-        for detail in config.details:
-            print(
-                f"error {detail.code}: {detail.path} {detail.reason}",
-                file=sys.stderr,
-            )
-        sys.exit(2)
-    settings = EntrySettings.from_config(config)
-    logs.configure(
-        "shallotstand-entry", settings.process_id, settings.log_level
-    )
+@cappa.command(name="shallotstand-entry")
+def start(
+    settings: Annotated[
+        str, cappa.Arg(long=True, help="Path of the TOML settings.")
+    ],
+) -> None:
+    """Serves callers and trainers."""
+    checked = EntrySettings.from_config(load_or_exit(settings, TABLE))
+    logs.configure("shallotstand-entry", checked.process_id, checked.log_level)
     uvloop.install()
-    asyncio.run(Entry.from_config(settings).run())
+    asyncio.run(Entry.from_config(checked).run())
+
+
+def main() -> None:
+    """Parses the command line and runs the program."""
+    cappa.invoke(start)
 
 
 if __name__ == "__main__":
--- a/apps/entry/src/shallotstand/entry/sidecars.py
+++ b/apps/entry/src/shallotstand/entry/sidecars.py
@@ -1,17 +1,13 @@
 """Connections from sidecars and the endpoints behind them."""
 
 import asyncio
-import contextlib
 import itertools
 from collections.abc import Callable
 from typing import NamedTuple
 
-from absl import logging
-from shallotstand.core import logs
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.entry.streams import AnswerStream
-from shallotstand.link.link import Link
 from shallotstand.link.messages import (
     Cancel,
     Chunks,
@@ -20,17 +16,13 @@
     EndpointLoad,
     Frame,
     Frames,
-    Hello,
     Load,
-    Ping,
     Request,
     Submit,
 )
+from shallotstand.link.node import PeerConnection
 from shallotstand.serving.routing import Candidate
 
-SILENCE_LIMIT_S = 10.0
-SUSPECT_SILENCE_S = 3.0
-
 
 class RemoteEndpoint:
     """An endpoint behind a connected sidecar.
@@ -71,22 +63,22 @@
 class SidecarConnection:
     """One connection from a sidecar and the streams on it."""
 
-    def __init__(self, link: Link, hello: Hello):
-        self.hello = hello
+    def __init__(self, peer: PeerConnection):
+        self.hello = peer.hello
         self.endpoints_by_name = {
-            info.name: RemoteEndpoint(info, self) for info in hello.endpoints
+            info.name: RemoteEndpoint(info, self)
+            for info in peer.hello.endpoints
         }
-        self._link = link
+        self._peer = peer
+        self._link = peer.link
         self._numbers = itertools.count(1)
         self._streams_by_number: dict[int, AnswerStream] = {}
         self._unsent: list[Request] = []
-        self._heard_at = asyncio.get_running_loop().time()
 
     @property
     def is_silent(self) -> bool:
         """Whether the sidecar has missed its last pings."""
-        now = asyncio.get_running_loop().time()
-        return now - self._heard_at > SUSPECT_SILENCE_S
+        return self._peer.is_silent
 
     def open_stream(self, request: Request) -> AnswerStream | Failure:
         """Sends a request with the next turn of the event loop.
@@ -129,27 +121,20 @@
 
     async def read(self, fleet: "Fleet") -> None:
         """Handles the sidecar's messages until the connection ends."""
-        messages = self._link.messages()
-        with contextlib.suppress(StopAsyncIteration, TimeoutError):
-            while True:
-                async with asyncio.timeout(SILENCE_LIMIT_S):
-                    message = await anext(messages)
-                self._heard_at = asyncio.get_running_loop().time()
-                match message:
-                    case Chunks(chunks):
-                        for chunk in chunks:
-                            if s := self._streams_by_number.get(chunk.stream):
-                                s.put(chunk)
-                    case Frames(frames):
-                        for frame in frames:
-                            self._take_frame(frame)
-                    case Load(endpoints):
-                        for report in endpoints:
-                            self._take_report(report, fleet)
-                    case Crash():
-                        fleet.on_crash(message)
-                    case Ping():
-                        pass
+        async for message in self._peer.messages():
+            match message:
+                case Chunks(chunks):
+                    for chunk in chunks:
+                        if stream := self._streams_by_number.get(chunk.stream):
+                            stream.put(chunk)
+                case Frames(frames):
+                    for frame in frames:
+                        self._take_frame(frame)
+                case Load(endpoints):
+                    for report in endpoints:
+                        self._take_report(report, fleet)
+                case Crash():
+                    fleet.on_crash(message)
 
     def end_all(self) -> None:
         """Ends every stream after the connection was lost."""
@@ -197,16 +182,11 @@
         self._listener = listener
         self._connections_by_id: dict[str, SidecarConnection] = {}
 
-    async def serve(self, link: Link, hello: Hello) -> None:
+    async def serve(self, peer: PeerConnection) -> None:
         """Keeps a sidecar's connection until it ends."""
-        connection = SidecarConnection(link, hello)
+        connection = SidecarConnection(peer)
+        hello = peer.hello
         self._connections_by_id[hello.process_id] = connection
-        logs.event(
-            logging.INFO,
-            "Sidecar connected",
-            sidecar=hello.process_id,
-            endpoints=list(connection.endpoints_by_name),
-        )
         try:
             await connection.read(self)
         finally:
@@ -215,11 +195,6 @@
             connection.end_all()
             for service in {e.service for e in hello.endpoints}:
                 self.on_capacity(service)
-            logs.event(
-                logging.WARNING,
-                "Sidecar disconnected",
-                sidecar=hello.process_id,
-            )
 
     def endpoints(self, service: str) -> dict[str, RemoteEndpoint]:
         """Returns the connected endpoints of a service by name."""
--- a/apps/sidecar/src/shallotstand/sidecar/main.py
+++ b/apps/sidecar/src/shallotstand/sidecar/main.py
@@ -2,37 +2,24 @@
 
 import asyncio
 import signal
-import sys
-from typing import Annotated, NamedTuple
+from typing import Annotated
 
 import cappa
 import uvloop
 from absl import logging
 from shallotstand.core import logs
 from shallotstand.core.clock import SystemClock
-from shallotstand.core.failure import Failure
 from shallotstand.core.ids import new_id
 from shallotstand.engine.http import HttpEngine
-from shallotstand.settings.loader import load_settings
+from shallotstand.link.node import Identity, Node
+from shallotstand.settings.loader import load_or_exit
 from shallotstand.sidecar.endpoint import LocalEndpoint
-from shallotstand.sidecar.peers import Peers
+from shallotstand.sidecar.peers import PeerService
 from shallotstand.sidecar.runner import Runner
 from shallotstand.sidecar.settings import TABLE, SidecarSettings
 from shallotstand.sidecar.usage_log import UsageLog
 
 
-@cappa.command(
-    name="shallotstand-sidecar",
-    help="Runs beside an endpoint instance and passes requests to it.",
-)
-class Arguments(NamedTuple):
-    """Arguments of the command line."""
-
-    settings: Annotated[
-        str, cappa.Arg(long=True, help="Path of the TOML settings.")
-    ]
-
-
 async def run(settings: SidecarSettings) -> None:
     """Serves until SIGTERM, then until the answers in progress have ended."""
     clock = SystemClock()
@@ -43,15 +30,19 @@
     }
     usage_log = UsageLog(incarnation, settings.window_s)
     runner = Runner(endpoints_by_name, usage_log, clock)
-    peers = Peers(
-        settings, incarnation, endpoints_by_name, runner, usage_log, clock
+    service = PeerService(settings.zone, endpoints_by_name, runner, usage_log)
+    identity = Identity(
+        settings.process_id, "sidecar", settings.zone, incarnation
     )
-    watchers = [
-        asyncio.create_task(endpoint.watch(peers.on_report))
+    node = Node(identity, service.serve, clock, service.describe)
+    service.node = node
+    tasks = [
+        asyncio.create_task(endpoint.watch(service.on_report))
         for endpoint in endpoints_by_name.values()
     ]
+    tasks.append(asyncio.create_task(service.report_usage()))
     for address in settings.peers:
-        peers.dial(address)
+        node.dial(address.host, address.port)
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -59,32 +50,33 @@
     logs.event(logging.INFO, "Started", endpoints=list(endpoints_by_name))
     await stopping.wait()
     runner.accepting = False
-    await peers.activity.wait_idle(settings.shutdown_deadline_s)
-    for watcher in watchers:
-        watcher.cancel()
-    await peers.close()
+    await service.activity.wait_idle(settings.shutdown_deadline_s)
+    for task in tasks:
+        task.cancel()
+    await node.close()
     for endpoint in endpoints_by_name.values():
         await endpoint.engine.close()
     logs.event(logging.INFO, "Stopped")
 
 
-def main() -> None:
-    """Reads the settings and runs the program."""
-    arguments = cappa.parse(Arguments)
-    config = load_settings(arguments.settings, TABLE)
-    if isinstance(config, Failure):
-        for detail in config.details:
-            print(
-                f"error {detail.code}: {detail.path} {detail.reason}",
-                file=sys.stderr,
-            )
-        sys.exit(2)
-    settings = SidecarSettings.from_config(config)
+@cappa.command(name="shallotstand-sidecar")
+def start(
+    settings: Annotated[
+        str, cappa.Arg(long=True, help="Path of the TOML settings.")
+    ],
+) -> None:
+    """Runs beside an endpoint instance and passes requests to it."""
+    checked = SidecarSettings.from_config(load_or_exit(settings, TABLE))
     logs.configure(
-        "shallotstand-sidecar", settings.process_id, settings.log_level
+        "shallotstand-sidecar", checked.process_id, checked.log_level
     )
     uvloop.install()
-    asyncio.run(run(settings))
+    asyncio.run(run(checked))
+
+
+def main() -> None:
+    """Parses the command line and runs the program."""
+    cappa.invoke(start)
 
 
 if __name__ == "__main__":
--- a/apps/sidecar/src/shallotstand/sidecar/peers.py
+++ b/apps/sidecar/src/shallotstand/sidecar/peers.py
@@ -1,204 +1,131 @@
-"""Connections of the sidecar to entries and controllers."""
+"""What the sidecar does for each entry and controller."""
 
 import asyncio
-import contextlib
-import random
 
-from absl import logging
-from shallotstand.core import logs
 from shallotstand.core.activity import Activity
-from shallotstand.core.clock import Clock
-from shallotstand.core.failure import Failure
-from shallotstand.link.link import Link
 from shallotstand.link.messages import (
     Cancel,
     Crash,
     Hello,
     Load,
-    Ping,
+    Request,
     Submit,
     Usage,
     UsageAck,
 )
-from shallotstand.settings.options import Host
+from shallotstand.link.node import Node, PeerConnection
 from shallotstand.sidecar.endpoint import LocalEndpoint
 from shallotstand.sidecar.outbox import Outbox
 from shallotstand.sidecar.runner import Runner
-from shallotstand.sidecar.settings import SidecarSettings
 from shallotstand.sidecar.usage_log import UsageLog
 
-PING_INTERVAL_S = 1.0
 USAGE_INTERVAL_S = 5.0
-# A peer that says nothing for this long is taken for dead; three lost pings
-# alone could be a pause of its event loop.
-SILENCE_LIMIT_S = 10.0
-_RECONNECT_MIN_S = 0.2
-_RECONNECT_MAX_S = 5.0
 
 
-class Peers:
-    """Keeps one connection to every entry and controller it hears of.
+class PeerSession:
+    """Requests that one peer sent and whose answers it gets."""
+
+    def __init__(
+        self, peer: PeerConnection, runner: Runner, activity: Activity
+    ):
+        self._runner = runner
+        self._activity = activity
+        self._outbox = Outbox(peer.link)
+        self._tasks_by_stream: dict[int, asyncio.Task] = {}
+        self._sender = asyncio.create_task(self._outbox.run())
+
+    def submit(self, requests: tuple[Request, ...]) -> None:
+        """Starts a task for each request."""
+        for request in requests:
+            task = asyncio.create_task(self._serve(request))
+            self._tasks_by_stream[request.stream] = task
+
+    def cancel(self, streams: tuple[int, ...]) -> None:
+        """Cancels requests whose callers have gone."""
+        for stream in streams:
+            if task := self._tasks_by_stream.get(stream):
+                task.cancel()
+            self._outbox.drop(stream)
+
+    async def close(self) -> None:
+        """Cancels whatever still runs."""
+        tasks = [self._sender, *self._tasks_by_stream.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _serve(self, request: Request) -> None:
+        self._activity.begin()
+        try:
+            await self._runner.run(request, self._outbox)
+        finally:
+            self._activity.end()
+            del self._tasks_by_stream[request.stream]
+
+
+class PeerService:
+    """Serves every peer of the sidecar.
 
     Attributes:
       activity: Requests that run on the endpoints.
-      revision: Highest configuration revision that any peer named.
+      node: Connections to the peers; set right after construction.
     """
 
+    node: Node
+
     def __init__(
         self,
-        settings: SidecarSettings,
-        incarnation: str,
+        zone: str,
         endpoints_by_name: dict[str, LocalEndpoint],
         runner: Runner,
         usage_log: UsageLog,
-        clock: Clock,
     ):
-        self._settings = settings
-        self._incarnation = incarnation
+        self.activity = Activity()
+        self._zone = zone
         self._endpoints_by_name = endpoints_by_name
         self._runner = runner
         self._usage_log = usage_log
-        self._clock = clock
-        self._rng = random.Random()
-        self._links_by_address: dict[Host, Link] = {}
-        self._tasks_by_address: dict[Host, asyncio.Task] = {}
-        self.activity = Activity()
-        self.revision = 0
 
-    def dial(self, address: Host) -> None:
-        """Starts the task that keeps the connection to an address."""
-        if address not in self._tasks_by_address:
-            self._tasks_by_address[address] = asyncio.create_task(
-                self._keep_connected(address)
+    def describe(self, hello: Hello) -> Hello:
+        """Adds the endpoints to the Hello message."""
+        return hello._replace(
+            endpoints=tuple(
+                endpoint.info(self._zone)
+                for endpoint in self._endpoints_by_name.values()
             )
-
-    def on_report(self, endpoint: LocalEndpoint, ended: bool) -> None:
-        """Tells every peer of an endpoint's state."""
-        fingerprints = endpoint.running_fingerprints()
-        for link in self._links_by_address.values():
-            link.send(Load((endpoint.report,)))
-            if ended:
-                link.send(
-                    Crash(endpoint.name, endpoint.incarnation, fingerprints)
-                )
-
-    async def close(self) -> None:
-        """Closes every connection."""
-        for task in self._tasks_by_address.values():
-            task.cancel()
-        await asyncio.gather(
-            *self._tasks_by_address.values(), return_exceptions=True
         )
 
-    async def _keep_connected(self, address: Host) -> None:
-        delay = _RECONNECT_MIN_S
-        while True:
-            link = await Link.connect(address.host, address.port)
-            if isinstance(link, Failure):
-                delay = min(delay * 2, _RECONNECT_MAX_S)
-            else:
-                delay = _RECONNECT_MIN_S
-                await self._converse(address, link)
-            # Jitter keeps the sidecars of a zone from coming back together.
-            await asyncio.sleep(delay * self._rng.uniform(0.5, 1.5))
-
-    async def _converse(self, address: Host, link: Link) -> None:
-        """Exchanges messages with a peer until the connection ends."""
-        link.send(self._hello())
-        self._links_by_address[address] = link
-        outbox = Outbox(link)
-        requests: dict[int, asyncio.Task] = {}
-        helpers = [
-            asyncio.create_task(outbox.run()),
-            asyncio.create_task(self._ping(link)),
-            asyncio.create_task(self._report_usage(link)),
-        ]
+    async def serve(self, peer: PeerConnection) -> None:
+        """Handles one peer's messages until its connection ends."""
+        session = PeerSession(peer, self._runner, self.activity)
         try:
-            await self._read(link, outbox, requests)
-        finally:
-            del self._links_by_address[address]
-            for task in (*helpers, *requests.values()):
-                task.cancel()
-            await asyncio.gather(
-                *helpers, *requests.values(), return_exceptions=True
-            )
-            await link.close()
-            logs.event(
-                logging.INFO,
-                "Connection ended",
-                peer=str(address),
-                reason=link.failure.reason if link.failure else "closed",
-            )
-
-    async def _read(
-        self, link: Link, outbox: Outbox, requests: dict[int, asyncio.Task]
-    ) -> None:
-        messages = link.messages()
-        with contextlib.suppress(StopAsyncIteration, TimeoutError):
-            while True:
-                async with asyncio.timeout(SILENCE_LIMIT_S):
-                    message = await anext(messages)
+            async for message in peer.messages():
                 match message:
-                    case Submit(submitted):
-                        for request in submitted:
-                            task = asyncio.create_task(
-                                self._serve(request, outbox)
-                            )
-                            requests[request.stream] = task
-                            task.add_done_callback(
-                                lambda _, stream=request.stream: requests.pop(
-                                    stream, None
-                                )
-                            )
+                    case Submit(requests):
+                        session.submit(requests)
                     case Cancel(streams):
-                        for stream in streams:
-                            if task := requests.get(stream):
-                                task.cancel()
-                            outbox.drop(stream)
-                    case Ping():
-                        self.revision = max(self.revision, message.revision)
-                    case Hello():
-                        for peer in message.roster:
-                            self.dial(Host(peer.host, peer.port))
-                    case UsageAck(source, number):
-                        if source == self._usage_log.source:
-                            self._usage_log.acknowledge(number)
-
-    async def _serve(self, request, outbox: Outbox) -> None:
-        self.activity.begin()
-        try:
-            await self._runner.run(request, outbox)
+                        session.cancel(streams)
+                    case UsageAck(self._usage_log.source, number):
+                        self._usage_log.acknowledge(number)
+                self.node.revision = max(self.node.revision, peer.revision)
         finally:
-            self.activity.end()
+            await session.close()
 
-    async def _ping(self, link: Link) -> None:
-        sequence = 0
-        while True:
-            sequence += 1
-            link.send(
-                Ping(
-                    sequence,
-                    self.revision,
-                    int(self._clock.monotonic() * 1000),
-                )
+    def on_report(self, endpoint: LocalEndpoint, ended: bool) -> None:
+        """Tells the entries of an endpoint's state."""
+        self.node.broadcast(Load((endpoint.report,)), "entry")
+        if ended:
+            crash = Crash(
+                endpoint.name,
+                endpoint.incarnation,
+                endpoint.running_fingerprints(),
             )
-            await asyncio.sleep(PING_INTERVAL_S)
+            self.node.broadcast(crash, "entry")
 
-    async def _report_usage(self, link: Link) -> None:
+    async def report_usage(self) -> None:
+        """Sends records that are not stored to the controllers, forever."""
         while True:
             await asyncio.sleep(USAGE_INTERVAL_S)
             if records := self._usage_log.pending():
-                link.send(Usage(self._usage_log.source, records))
-
-    def _hello(self) -> Hello:
-        return Hello(
-            process_id=self._settings.process_id,
-            role="sidecar",
-            zone=self._settings.zone,
-            incarnation=self._incarnation,
-            revision=self.revision,
-            endpoints=tuple(
-                endpoint.info(self._settings.zone)
-                for endpoint in self._endpoints_by_name.values()
-            ),
-        )
+                usage = Usage(self._usage_log.source, records)
+                self.node.broadcast(usage, "controller")
--- a/libs/core/src/shallotstand/core/logs.py
+++ b/libs/core/src/shallotstand/core/logs.py
@@ -5,7 +5,7 @@
 import sys
 from typing import Any
 
-from absl import logging
+from absl import flags, logging
 
 
 class JsonFormatter(std_logging.Formatter):
@@ -42,6 +42,9 @@
       process_id: Identifier of the process from its settings.
       level: One of debug, info, warning, error.
     """
+    # absl warns about lines logged before its own flags are parsed; the
+    # command line is parsed by cappa instead.
+    flags.FLAGS.mark_as_parsed()
     handler = logging.get_absl_handler()
     handler.setFormatter(JsonFormatter(program, process_id))
     handler.python_handler.stream = sys.stderr
--- /dev/null
+++ b/libs/link/src/shallotstand/link/node.py
@@ -0,0 +1,302 @@
+"""A process among its peers: dials, accepts and keeps connections alive."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from typing import NamedTuple
+
+from absl import logging
+from shallotstand.core import logs
+from shallotstand.core.clock import Clock
+from shallotstand.link.link import Link
+from shallotstand.link.messages import Hello, Message, Peer, Ping
+
+PING_INTERVAL_S = 1.0
+# Missing this much, a peer is suspected: it gets no new work.
+SUSPECT_SILENCE_S = 3.0
+# Missing this much, its connection is closed. Three lost pings alone could be
+# a pause of its event loop.
+SILENCE_LIMIT_S = 10.0
+_HELLO_TIMEOUT_S = 5.0
+_RECONNECT_MIN_S = 0.2
+_RECONNECT_MAX_S = 5.0
+
+
+class Identity(NamedTuple):
+    """Who a process is.
+
+    Attributes:
+      process_id: Name from the settings, unique in the deployment.
+      role: `entry`, `controller` or `sidecar`.
+      zone: Availability zone.
+      incarnation: Random identifier of this run.
+      address: Where peers reach it; None if it only dials.
+    """
+
+    process_id: str
+    role: str
+    zone: str
+    incarnation: str
+    address: Peer | None = None
+
+
+class PeerConnection:
+    """A connection over which both sides have sent Hello.
+
+    Attributes:
+      link: The connection.
+      hello: What the peer said of itself.
+      revision: Highest configuration revision that the peer has named.
+    """
+
+    def __init__(self, link: Link, hello: Hello, clock: Clock):
+        self.link = link
+        self.hello = hello
+        self.revision = hello.revision
+        self._clock = clock
+        self._heard_at = clock.monotonic()
+        self._clock_offset_ms: int | None = None
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether the peer has missed its last pings."""
+        return self._clock.monotonic() - self._heard_at > SUSPECT_SILENCE_S
+
+    @property
+    def peer_now_ms(self) -> int | None:
+        """The peer's monotonic clock, late by at most a ping's travel time.
+
+        None until its first Ping arrived. Deadlines of orders are given in
+        the clock of their receiver, so no clocks are compared across hosts.
+        """
+        if self._clock_offset_ms is None:
+            return None
+        return int(self._clock.monotonic() * 1000) + self._clock_offset_ms
+
+    def send(self, message: Message) -> bool:
+        """Sends a message; False if the connection has ended."""
+        return self.link.send(message)
+
+    async def messages(self) -> AsyncIterator[Message]:
+        """Yields the peer's messages except Ping until the connection ends."""
+        messages = self.link.messages()
+        while True:
+            try:
+                async with asyncio.timeout(SILENCE_LIMIT_S):
+                    message = await anext(messages, None)
+            except TimeoutError:
+                return
+            if message is None:
+                return
+            self._heard_at = self._clock.monotonic()
+            if isinstance(message, Ping):
+                self._take_ping(message)
+            else:
+                yield message
+
+    def _take_ping(self, ping: Ping) -> None:
+        self.revision = max(self.revision, ping.revision)
+        now_ms = int(self._clock.monotonic() * 1000)
+        offset_ms = ping.monotonic_ms - now_ms
+        # The smallest delay seen gives the best estimate.
+        if self._clock_offset_ms is None or offset_ms > self._clock_offset_ms:
+            self._clock_offset_ms = offset_ms
+
+
+class Node:
+    """Keeps one connection to each peer.
+
+    Attributes:
+      identity: Who this process is.
+      peers_by_id: Open connections by the peer's process id.
+      revision: Highest configuration revision that this process has seen; it
+        is told to peers in each Hello and Ping.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        serve: Callable[[PeerConnection], Awaitable[None]],
+        clock: Clock,
+        describe: Callable[[Hello], Hello] = lambda hello: hello,
+    ):
+        """Initializes the node without any connection.
+
+        Args:
+          identity: Who this process is.
+          serve: Coroutine function that handles one peer until its messages
+            end; it runs in that peer's own task.
+          clock: Clock of the process.
+          describe: Adds what the program tells in its Hello.
+        """
+        self.identity = identity
+        self.peers_by_id: dict[str, PeerConnection] = {}
+        self.revision = 0
+        self._serve = serve
+        self._clock = clock
+        self._describe = describe
+        self._rng = random.Random()
+        self._server: asyncio.Server | None = None
+        self._peers_by_address: dict[tuple[str, int], Peer] = {}
+        self._dialers_by_address: dict[tuple[str, int], asyncio.Task] = {}
+        self._accepted: set[asyncio.Task] = set()
+        self._closing = False
+
+    async def listen(self) -> None:
+        """Starts to accept connections at the identity's address."""
+        address = self.identity.address
+        self._server = await asyncio.start_server(
+            self._accept, address.host, address.port
+        )
+
+    def dial(self, host: str, port: int) -> None:
+        """Keeps a connection to an address from now on."""
+        own = self.identity.address
+        if own is not None and (host, port) == (own.host, own.port):
+            return
+        if (host, port) not in self._dialers_by_address and not self._closing:
+            self._dialers_by_address[host, port] = asyncio.create_task(
+                self._keep_connected(host, port)
+            )
+
+    def peers(self, *roles: str) -> list[PeerConnection]:
+        """Returns the open connections to peers of these roles."""
+        return [
+            peer
+            for peer in self.peers_by_id.values()
+            if peer.hello.role in roles
+        ]
+
+    def broadcast(self, message: Message, *roles: str) -> None:
+        """Sends a message to every connected peer of these roles."""
+        for peer in self.peers(*roles):
+            peer.send(message)
+
+    async def close(self) -> None:
+        """Closes every connection and stops listening and dialing."""
+        self._closing = True
+        if self._server is not None:
+            self._server.close()
+        tasks = [*self._dialers_by_address.values(), *self._accepted]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _keep_connected(self, host: str, port: int) -> None:
+        delay = _RECONNECT_MIN_S
+        while True:
+            link = None
+            if not self._is_connected(host, port):
+                link = await Link.connect(host, port)
+            if isinstance(link, Link):
+                delay = _RECONNECT_MIN_S
+                await self._converse(link, dialed=True)
+            else:
+                delay = min(delay * 2, _RECONNECT_MAX_S)
+            # Jitter keeps the processes of a zone from coming back together.
+            await asyncio.sleep(delay * self._rng.uniform(0.5, 1.5))
+
+    def _is_connected(self, host: str, port: int) -> bool:
+        peer = self._peers_by_address.get((host, port))
+        return peer is not None and peer.process_id in self.peers_by_id
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        self._accepted.add(task)
+        try:
+            await self._converse(Link(reader, writer), dialed=False)
+        finally:
+            self._accepted.discard(task)
+
+    async def _converse(self, link: Link, dialed: bool) -> None:
+        """Exchanges Hello, then serves the peer until the connection ends."""
+        try:
+            link.send(self._hello())
+            hello = await self._receive_hello(link)
+            if hello is None:
+                logs.event(logging.WARNING, "No Hello", peer=link.peer_address)
+                return
+            self._learn(hello)
+            if self._prefers_other(hello, dialed):
+                return
+            await self._serve_peer(PeerConnection(link, hello, self._clock))
+        finally:
+            await link.close()
+
+    async def _serve_peer(self, peer: PeerConnection) -> None:
+        process_id = peer.hello.process_id
+        self.peers_by_id[process_id] = peer
+        pinger = asyncio.create_task(self._ping(peer.link))
+        logs.event(logging.INFO, "Peer connected", peer=process_id)
+        try:
+            await self._serve(peer)
+        finally:
+            pinger.cancel()
+            if self.peers_by_id.get(process_id) is peer:
+                del self.peers_by_id[process_id]
+            failure = peer.link.failure
+            logs.event(
+                logging.INFO,
+                "Peer disconnected",
+                peer=process_id,
+                reason=failure.reason if failure else "closed",
+            )
+
+    def _prefers_other(self, hello: Hello, dialed: bool) -> bool:
+        """Says whether another connection to the peer is kept instead.
+
+        Where two processes dial each other at once, both keep the connection
+        that the smaller process id dialed.
+        """
+        held = self.peers_by_id.get(hello.process_id)
+        if held is None or held.hello.incarnation != hello.incarnation:
+            return False
+        if not held.link.is_open or held.is_silent:
+            return False
+        return dialed == (self.identity.process_id > hello.process_id)
+
+    async def _receive_hello(self, link: Link) -> Hello | None:
+        try:
+            async with asyncio.timeout(_HELLO_TIMEOUT_S):
+                first = await anext(link.messages(), None)
+        except TimeoutError:
+            return None
+        return first if isinstance(first, Hello) else None
+
+    async def _ping(self, link: Link) -> None:
+        sequence = 0
+        while True:
+            sequence += 1
+            now_ms = int(self._clock.monotonic() * 1000)
+            link.send(Ping(sequence, self.revision, now_ms))
+            await asyncio.sleep(PING_INTERVAL_S)
+
+    def _learn(self, hello: Hello) -> None:
+        """Dials the entries and controllers that a peer knows."""
+        for peer in hello.roster:
+            self._peers_by_address[peer.host, peer.port] = peer
+            self.dial(peer.host, peer.port)
+
+    def _hello(self) -> Hello:
+        identity = self.identity
+        roster = {p.process_id: p for p in self._known_listeners()}
+        return self._describe(
+            Hello(
+                process_id=identity.process_id,
+                role=identity.role,
+                zone=identity.zone,
+                incarnation=identity.incarnation,
+                revision=self.revision,
+                roster=tuple(roster.values()),
+            )
+        )
+
+    def _known_listeners(self) -> Iterable[Peer]:
+        """Returns this process and the connected ones that listen."""
+        if self.identity.address is not None:
+            yield self.identity.address
+        for peer in self._peers_by_address.values():
+            if peer.process_id in self.peers_by_id:
+                yield peer
--- a/libs/settings/src/shallotstand/settings/loader.py
+++ b/libs/settings/src/shallotstand/settings/loader.py
@@ -1,6 +1,7 @@
 """Reads a program's TOML settings and checks them whole."""
 
 import pathlib
+import sys
 import tomllib
 from typing import Any
 
@@ -8,6 +9,8 @@
 from shallotstand.core.failure import ErrorDetail, Failure
 from shallotstand.settings.options import Table
 
+EXIT_SETTINGS = 2
+
 
 def load_settings(path: str, table: Table) -> dict[str, Any] | Failure:
     """Reads settings from a file.
@@ -57,3 +60,19 @@
         if isinstance(item, Table):
             rows.append(render_reference(item, f"{prefix}{name}."))
     return "".join(rows)
+
+
+def load_or_exit(path: str, table: Table) -> dict[str, Any]:
+    """Reads a program's settings; ends the program if they are not valid.
+
+    Every error is printed to standard error, one a line.
+    """
+    config = load_settings(path, table)
+    if not isinstance(config, Failure):
+        return config
+    for detail in config.details:
+        print(
+            f"error {int(detail.code)}: {detail.path} {detail.reason}",
+            file=sys.stderr,
+        )
+    sys.exit(EXIT_SETTINGS)
--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -10,9 +10,9 @@
 from shallotstand.core.failure import Failure
 from shallotstand.engine.http import HttpEngine
 from shallotstand.entry.gateway import CallerRequest, Gateway
-from shallotstand.entry.peer_server import PeerServer
-from shallotstand.entry.settings import EntrySettings
 from shallotstand.entry.sidecars import Fleet, FleetListener
+from shallotstand.link.messages import Peer
+from shallotstand.link.node import Identity, Node
 from shallotstand.objects.keys import hash_key
 from shallotstand.objects.types import (
     Catalog,
@@ -24,11 +24,10 @@
 from shallotstand.serving.first_come import FirstComeAdmission
 from shallotstand.serving.retries import BudgetedRetries
 from shallotstand.serving.routing import LeastLoadedRouter
-from shallotstand.settings.options import Host
 from shallotstand.sidecar.endpoint import LocalEndpoint
-from shallotstand.sidecar.peers import Peers
+from shallotstand.sidecar.peers import PeerService
 from shallotstand.sidecar.runner import Runner
-from shallotstand.sidecar.settings import EndpointSettings, SidecarSettings
+from shallotstand.sidecar.settings import EndpointSettings
 from shallotstand.sidecar.usage_log import UsageLog
 from shallotstand.standins.engine import EngineProfile, StandinEngine
 from shallotstand.standins.engine_http import make_engine_app
@@ -84,12 +83,13 @@
         BudgetedRetries(rng),
         clock,
     )
-    address = Host("127.0.0.1", peer_port)
-    settings = EntrySettings(
-        "entry-1", "peak-a", "info", address, address, (address,), "",
-        1 << 20, 5.0, 5.0, True,
-    )  # fmt: skip
-    server = await PeerServer(settings, "inc", fleet, clock).start()
+    address = Peer("entry-1", "entry", "peak-a", "127.0.0.1", peer_port)
+    entry_node = Node(
+        Identity("entry-1", "entry", "peak-a", "inc-1", address),
+        fleet.serve,
+        clock,
+    )
+    await entry_node.listen()
     endpoint_settings = EndpointSettings(
         "e1", "drafts", "model", f"http://127.0.0.1:{engine_port}"
     )
@@ -99,16 +99,16 @@
         )
     }
     usage = UsageLog("sidecar-inc", 300)
-    peers = Peers(
-        SidecarSettings("s1", "peak-a", "info", 0, 5.0, 300, (address,), ()),
-        "sidecar-inc",
-        endpoints,
-        Runner(endpoints, usage, clock),
-        usage,
+    runner = Runner(endpoints, usage, clock)
+    service = PeerService("peak-a", endpoints, runner, usage)
+    service.node = Node(
+        Identity("s1", "sidecar", "peak-a", "sidecar-inc"),
+        service.serve,
         clock,
+        service.describe,
     )
-    watcher = asyncio.create_task(endpoints["e1"].watch(peers.on_report))
-    peers.dial(address)
+    watcher = asyncio.create_task(endpoints["e1"].watch(service.on_report))
+    service.node.dial("127.0.0.1", peer_port)
     gateway.adopt(CATALOG)
     async with asyncio.timeout(10):
         while not any(
@@ -117,9 +117,9 @@
             await asyncio.sleep(0.01)
         await check(gateway, engine, usage)
     watcher.cancel()
-    await peers.close()
+    await service.node.close()
     await endpoints["e1"].engine.close()
-    server.close()
+    await entry_node.close()
     await http.close()
 
 
