--- a/apps/standins/src/shallotstand/standins/object_store.py
+++ b/apps/standins/src/shallotstand/standins/object_store.py
@@ -100,9 +100,7 @@
             return _UNAVAILABLE
         return self._below(prefix)
 
-    async def watch(
-        self, prefix: str
-    ) -> AsyncIterator[StoredObject | Failure]:
+    async def watch(self, prefix: str) -> AsyncIterator[StoredObject | Failure]:
         """Yields the objects below a prefix, then each change of them."""
         while True:
             self.calls["watch"] += 1
@@ -119,8 +117,9 @@
                         yield change
                 seen = len(self.history)
                 await self._wait(
-                    lambda seen=seen: len(self.history) > seen
-                    or self.faults.down
+                    lambda seen=seen: (
+                        len(self.history) > seen or self.faults.down
+                    )
                 )
 
     async def set_faults(self, faults: StoreFaults) -> None:
