Add metrics, service-level burn, glossary and contributor pages; test the libraries

Cause: operators need to see what the service does, and the core libraries had no tests of their own. Change: libs/observe with counters, hdrhistogram latencies, a scrape endpoint and multi-window burn rates; result-code table checked against the code; tests of settings, codec, node, engine meter and logs. Conclusion: missing minutes are shown as not counted instead of as success.

--- a/libs/core/src/shallotstand/core/codes.py
+++ b/libs/core/src/shallotstand/core/codes.py
@@ -300,3 +300,7 @@
     )
     header = ("| code | name | HTTP status | meaning |", "|---|---|---|---|")
     return "\n".join((*header, *rows)) + "\n"
+
+
+if __name__ == "__main__":
+    print(render_table(), end="")
--- /dev/null
+++ b/libs/core/tests/test_codes.py
@@ -0,0 +1,34 @@
+"""The table in the documentation and the meaning of the ranges."""
+
+import pathlib
+
+from shallotstand.core import codes
+from shallotstand.core.codes import INFO_BY_CODE, ResultCode
+from shallotstand.core.failure import ErrorDetail, Failure
+
+PAGE = pathlib.Path(__file__).parents[3] / "docs/result-codes.md"
+
+
+def test_every_code_has_a_meaning():
+    assert set(INFO_BY_CODE) == set(ResultCode)
+
+
+def test_page_matches_the_codes():
+    # Rewrite with: python -m shallotstand.core.codes
+    assert codes.render_table() in PAGE.read_text("utf-8")
+
+
+def test_only_the_first_range_promises_not_run():
+    assert codes.is_not_run(ResultCode.QUEUE_FULL)
+    assert not codes.is_not_run(ResultCode.STREAM_KEY_WITHDRAWN)
+    assert codes.is_outcome_unknown(ResultCode.LINK_LOST)
+
+
+def test_error_body_names_code_and_details():
+    detail = ErrorDetail(
+        ResultCode.OBJECT_FIELD, "a.toml: key[0]", "is missing"
+    )
+    body = Failure(ResultCode.OBJECT_FIELD, "1 error", (detail,)).to_json()
+    assert body["error"]["code"] == 3002
+    assert body["error"]["not_run"] is False
+    assert body["error"]["details"][0]["path"] == "a.toml: key[0]"
--- /dev/null
+++ b/libs/link/tests/test_node.py
@@ -0,0 +1,140 @@
+"""Connections between processes: duplicates, bad peers, slow peers."""
+
+import asyncio
+import socket
+
+from shallotstand.core.clock import SystemClock
+from shallotstand.core.codes import ResultCode
+from shallotstand.link.link import Link
+from shallotstand.link.messages import Config, ConfigAsk, Peer
+from shallotstand.link.node import Identity, Node
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Echo:
+    """Notes what peers send."""
+
+    def __init__(self, name: str):
+        self.received = []
+        port = free_port()
+        address = Peer(name, "entry", "peak-a", "127.0.0.1", port)
+        self.node = Node(
+            Identity(name, "entry", "peak-a", name + "-1", address),
+            self.serve,
+            SystemClock(),
+        )
+
+    async def serve(self, peer):
+        async for message in peer.messages():
+            self.received.append((peer.hello.process_id, message))
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return "127.0.0.1", self.node.identity.address.port
+
+
+async def until(condition) -> None:
+    async with asyncio.timeout(5):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_two_processes_that_dial_each_other_keep_one_connection():
+    async def check():
+        a, b = Echo("a"), Echo("b")
+        await a.node.listen()
+        await b.node.listen()
+        a.node.dial(*b.address)
+        b.node.dial(*a.address)
+        await until(lambda: a.node.peers_by_id and b.node.peers_by_id)
+        await asyncio.sleep(0.5)
+        a.node.broadcast(ConfigAsk(3), "entry")
+        b.node.broadcast(ConfigAsk(4), "entry")
+        await until(lambda: a.received and b.received)
+        await asyncio.sleep(0.2)
+        assert a.received == [("b", ConfigAsk(4))]
+        assert b.received == [("a", ConfigAsk(3))]
+        await a.node.close()
+        await b.node.close()
+
+    asyncio.run(check())
+
+
+def test_peers_are_learnt_from_the_roster():
+    async def check():
+        a, b, c = Echo("a"), Echo("b"), Echo("c")
+        for echo in (a, b, c):
+            await echo.node.listen()
+        a.node.dial(*b.address)
+        await until(lambda: "a" in b.node.peers_by_id)
+        c.node.dial(*b.address)
+        await until(lambda: "a" in c.node.peers_by_id)
+        for echo in (a, b, c):
+            await echo.node.close()
+
+    asyncio.run(check())
+
+
+def test_reconnects_after_the_peer_restarts():
+    async def check():
+        a, b = Echo("a"), Echo("b")
+        await b.node.listen()
+        a.node.dial(*b.address)
+        await until(lambda: "b" in a.node.peers_by_id)
+        await b.node.close()
+        await until(lambda: "b" not in a.node.peers_by_id)
+        again = Node(
+            b.node.identity._replace(incarnation="b-2"), b.serve, SystemClock()
+        )
+        await again.listen()
+        await until(lambda: "b" in a.node.peers_by_id)
+        assert a.node.peers_by_id["b"].hello.incarnation == "b-2"
+        await a.node.close()
+        await again.close()
+
+    asyncio.run(check())
+
+
+def test_oversized_and_garbled_messages_cost_only_their_sender():
+    async def check():
+        a, good = Echo("a"), Echo("good")
+        await a.node.listen()
+        good.node.dial(*a.address)
+        await until(lambda: "good" in a.node.peers_by_id)
+        for header in (b"\xff\xff\xff\xff", b"\x08\x00\x00\x00garbage!"):
+            reader, writer = await asyncio.open_connection(*a.address)
+            writer.write(header)
+            async with asyncio.timeout(5):
+                while await reader.read(4096):
+                    pass
+            writer.close()
+        good.node.broadcast(ConfigAsk(1), "entry")
+        await until(lambda: a.received == [("good", ConfigAsk(1))])
+        await a.node.close()
+        await good.node.close()
+
+    asyncio.run(check())
+
+
+def test_peer_that_does_not_read_is_cut_off():
+    async def check():
+        stuck = asyncio.Event()
+
+        async def accept(_, writer):
+            writer.transport.pause_reading()
+            await stuck.wait()
+
+        server = await asyncio.start_server(accept, "127.0.0.1", 0)
+        link = await Link.connect(*server.sockets[0].getsockname())
+        message = Config(1, 0, "", b"x" * 1_000_000)
+        assert not all(link.send(message) for _ in range(100))
+        assert link.failure.code == ResultCode.PEER_SLOW
+        stuck.set()
+        server.close()
+
+    asyncio.run(check())
--- /dev/null
+++ b/libs/observe/src/shallotstand/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics, their HTTP endpoint, and the service-level burn report."""
--- /dev/null
+++ b/libs/observe/src/shallotstand/observe/exposition.py
@@ -0,0 +1,24 @@
+"""The HTTP endpoint from which monitoring systems scrape metrics."""
+
+from aiohttp import web
+from shallotstand.observe.metrics import Metrics
+
+_CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+async def serve_metrics(
+    metrics: Metrics, host: str, port: int
+) -> web.AppRunner:
+    """Serves `/metrics`; the caller ends it with the runner's `cleanup`."""
+
+    async def expose(_: web.Request) -> web.Response:
+        return web.Response(
+            body=metrics.exposition(), headers={"Content-Type": _CONTENT_TYPE}
+        )
+
+    app = web.Application()
+    app.router.add_get("/metrics", expose)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, host, port).start()
+    return runner
--- /dev/null
+++ b/libs/observe/tests/test_burn.py
@@ -0,0 +1,69 @@
+"""Burn rates, alerts and missing minutes."""
+
+import pytest
+from shallotstand.observe.burn import (
+    HOUR_S,
+    MINUTE_S,
+    Minute,
+    MinuteIndex,
+    Objective,
+    Subject,
+    Tally,
+    burn_of,
+)
+
+NOW = 1_800_000_000
+SUBJECT = Subject("quotes", "club")
+OBJECTIVE = Objective(Subject("quotes"), 0.99)
+
+
+def minutes(count: int, tally: Tally, entry: str = "e1") -> list[Minute]:
+    end = NOW - NOW % MINUTE_S
+    return [
+        Minute(end - MINUTE_S * (i + 1), entry, SUBJECT, tally)
+        for i in range(count)
+    ]
+
+
+def index_of(reported: list[Minute], entries=("e1",)) -> MinuteIndex:
+    expected = {m.start: frozenset(entries) for m in reported}
+    return MinuteIndex(reported, expected)
+
+
+def test_accounts_count_towards_the_whole_service():
+    burn = burn_of(OBJECTIVE, index_of(minutes(60, Tally(98, 2))), NOW)
+    hour = next(w for w in burn.windows if w.length_s == HOUR_S)
+    assert hour.rate == pytest.approx(2.0)
+    assert burn.budget_left == pytest.approx(-1.0)
+    # The ticket's long window holds only these minutes, so its rate is 2 too.
+    assert burn.alerts == ("ticket",)
+
+
+def test_fast_burn_pages():
+    burn = burn_of(OBJECTIVE, index_of(minutes(60, Tally(80, 20))), NOW)
+    assert "page" in burn.alerts
+
+
+def test_alert_ends_when_the_short_window_is_clean():
+    old = [
+        m._replace(tally=Tally(50, 50)) if i >= 35 else m
+        for i, m in enumerate(minutes(60, Tally(100, 0)))
+    ]
+    burn = burn_of(OBJECTIVE, index_of(old), NOW)
+    assert "page" not in burn.alerts
+
+
+def test_missing_entry_is_not_taken_for_success():
+    burn = burn_of(
+        OBJECTIVE,
+        index_of(minutes(5, Tally(100, 0)), entries=("e1", "e2")),
+        NOW,
+    )
+    assert all(window.counted == 0 for window in burn.windows)
+
+
+def test_nothing_counted_gives_no_rate_and_no_alert():
+    burn = burn_of(OBJECTIVE, index_of([]), NOW)
+    assert {window.rate for window in burn.windows} == {None}
+    assert burn.alerts == ()
+    assert burn.budget_left == 1.0
