Pack control messages, send one heartbeat to all peers, measure control cost

Change: control messages are packed and encoded once for all peers; each second one Ping goes to all connections. measure/control_cost.py runs the real programs against stub peers at four sizes. Conclusion: load reports are the rest (eight engines, twice a second, a message each), and the entry sums the fleet's slots for each report, which is quadratic. Both are next.

--- a/libs/link/src/shallotstand/link/codec.py
+++ b/libs/link/src/shallotstand/link/codec.py
@@ -23,6 +23,9 @@
 _TRAVERSAL_LIMIT_WORDS = MAX_MESSAGE_BYTES
 
 
+_UNPACKED_TYPES = (messages.Submit, messages.Frames, messages.Chunks)
+
+
 class _Field(NamedTuple):
     """How to convert one field of a message.
 
@@ -37,30 +40,57 @@
     write: Callable[[Any], Any]
 
 
-def encode(message: Message) -> bytes:
-    """Returns the bytes of a message."""
+class Encoded(NamedTuple):
+    """A message ready to be sent.
+
+    Attributes:
+      body: Its bytes.
+      packed: Whether they are in Cap'n Proto's packed encoding.
+    """
+
+    body: bytes
+    packed: bool
+
+
+def encode(message: Message) -> Encoded:
+    """Returns the bytes of a message.
+
+    Control messages are mostly zero bytes, which packing removes. Messages
+    with bodies and answers are not packed: text has no zero bytes to remove.
+    """
     envelope = _SCHEMA.Envelope.new_message(
         **{_wire_name(type(message).__name__): _to_wire(message)}
     )
-    return envelope.to_bytes()
+    if isinstance(message, _UNPACKED_TYPES):
+        return Encoded(envelope.to_bytes(), packed=False)
+    return Encoded(envelope.to_bytes_packed(), packed=True)
 
 
-def decode(data: bytes) -> Message | Failure:
+def decode(encoded: Encoded) -> Message | Failure:
     """Returns the message in the bytes.
 
     Errors:
       BAD_FRAME: The bytes are no message of this schema.
     """
     try:
+        if encoded.packed:
+            envelope = _SCHEMA.Envelope.from_bytes_packed(
+                encoded.body, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
+            )
+            return _message_in(envelope)
         with _SCHEMA.Envelope.from_bytes(
-            data, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
+            encoded.body, traversal_limit_in_words=_TRAVERSAL_LIMIT_WORDS
         ) as envelope:
-            name = envelope.which()
-            return _from_wire(getattr(envelope, name), _TYPE_BY_NAME[str(name)])
+            return _message_in(envelope)
     except (capnp.KjException, KeyError, ValueError) as error:
         return Failure(ResultCode.BAD_FRAME, type(error).__name__)
 
 
+def _message_in(envelope: Any) -> Message:
+    name = str(envelope.which())
+    return _from_wire(getattr(envelope, name), _TYPE_BY_NAME[name])
+
+
 def _wire_name(name: str) -> str:
     """Converts `ConfigAsk` or `config_ask` into `configAsk`."""
     if "_" in name:
--- a/libs/link/src/shallotstand/link/link.py
+++ b/libs/link/src/shallotstand/link/link.py
@@ -6,10 +6,12 @@
 
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
-from shallotstand.link.codec import MAX_MESSAGE_BYTES, decode, encode
+from shallotstand.link.codec import MAX_MESSAGE_BYTES, Encoded, decode, encode
 from shallotstand.link.messages import Message
 
 _LENGTH_BYTES = 4
+# The highest bit of the length says that the body is packed.
+_PACKED_FLAG = 1 << 31
 # A peer that has not read this much is cut off; it must not hold memory here.
 _MAX_UNSENT_BYTES = 16 * 1024 * 1024
 _CLOSE_TIMEOUT_S = 2.0
@@ -18,7 +20,8 @@
 class Link:
     """Sends and receives messages over a stream connection.
 
-    Each message stands behind its length, four bytes, little-endian. One task
+    Each message stands behind its length, four bytes, little-endian, of which
+    the highest bit says that the message is packed. One task
     reads with `messages`; any task may call `send`, which never waits.
 
     Attributes:
@@ -65,13 +68,18 @@
         Returns:
           False if the link is closed; the message was then not sent.
         """
+        return self.send_encoded(encode(message))
+
+    def send_encoded(self, encoded: Encoded) -> bool:
+        """Queues a message that was encoded for several peers at once."""
         if not self.is_open:
             return False
-        body = encode(message)
+        length = len(encoded.body)
+        header = length | (_PACKED_FLAG if encoded.packed else 0)
         self._writer.writelines(
-            (len(body).to_bytes(_LENGTH_BYTES, "little"), body)
+            (header.to_bytes(_LENGTH_BYTES, "little"), encoded.body)
         )
-        self.bytes_sent += _LENGTH_BYTES + len(body)
+        self.bytes_sent += _LENGTH_BYTES + length
         if self._writer.transport.get_write_buffer_size() > _MAX_UNSENT_BYTES:
             self.failure = Failure(
                 ResultCode.PEER_SLOW, "The peer does not read its messages."
@@ -85,13 +93,14 @@
         with contextlib.suppress(asyncio.IncompleteReadError, OSError):
             while True:
                 header = await self._reader.readexactly(_LENGTH_BYTES)
-                length = int.from_bytes(header, "little")
+                number = int.from_bytes(header, "little")
+                length = number & ~_PACKED_FLAG
                 if length > MAX_MESSAGE_BYTES:
                     self._abort(ResultCode.FRAME_TOO_LARGE, f"{length} bytes")
                     return
                 body = await self._reader.readexactly(length)
                 self.bytes_received += _LENGTH_BYTES + length
-                message = decode(body)
+                message = decode(Encoded(body, bool(number & _PACKED_FLAG)))
                 if isinstance(message, Failure):
                     self._abort(message.code, message.reason)
                     return
--- a/libs/link/src/shallotstand/link/messages.py
+++ b/libs/link/src/shallotstand/link/messages.py
@@ -67,7 +67,7 @@
     """Heartbeat, sent every second.
 
     Attributes:
-      sequence: Counts up from 1 on each connection.
+      sequence: Counts up from 1 in each run of the sender.
       revision: Highest configuration revision that the sender has seen.
       monotonic_ms: The sender's monotonic clock; orders expire by it.
     """
--- a/libs/link/src/shallotstand/link/node.py
+++ b/libs/link/src/shallotstand/link/node.py
@@ -1,6 +1,8 @@
 """A process among its peers: dials, accepts and keeps connections alive."""
 
 import asyncio
+import contextlib
+import itertools
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from typing import NamedTuple
@@ -8,6 +10,7 @@
 from absl import logging
 from shallotstand.core import logs
 from shallotstand.core.clock import Clock
+from shallotstand.link.codec import encode
 from shallotstand.link.link import Link
 from shallotstand.link.messages import Hello, Message, Peer, Ping
 
@@ -140,6 +143,7 @@
         self._peers_by_address: dict[tuple[str, int], Peer] = {}
         self._dialers_by_address: dict[tuple[str, int], asyncio.Task] = {}
         self._accepted: set[asyncio.Task] = set()
+        self._heartbeat: asyncio.Task | None = None
         self._closing = False
 
     async def listen(self) -> None:
@@ -169,8 +173,9 @@
 
     def broadcast(self, message: Message, *roles: str) -> None:
         """Sends a message to every connected peer of these roles."""
+        body = encode(message)
         for peer in self.peers(*roles):
-            peer.send(message)
+            peer.link.send_encoded(body)
 
     async def close(self) -> None:
         """Closes every connection and stops listening and dialing."""
@@ -178,6 +183,8 @@
         if self._server is not None:
             self._server.close()
         tasks = [*self._dialers_by_address.values(), *self._accepted]
+        if self._heartbeat is not None:
+            tasks.append(self._heartbeat)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -205,10 +212,11 @@
     ) -> None:
         task = asyncio.current_task()
         self._accepted.add(task)
-        try:
+        # Only `close` cancels this task; asyncio would report the cancellation
+        # of a connection's task as an error of the server.
+        with contextlib.suppress(asyncio.CancelledError):
             await self._converse(Link(reader, writer), dialed=False)
-        finally:
-            self._accepted.discard(task)
+        self._accepted.discard(task)
 
     async def _converse(self, link: Link, dialed: bool) -> None:
         """Exchanges Hello, then serves the peer until the connection ends."""
@@ -228,12 +236,12 @@
     async def _serve_peer(self, peer: PeerConnection) -> None:
         process_id = peer.hello.process_id
         self.peers_by_id[process_id] = peer
-        pinger = asyncio.create_task(self._ping(peer.link))
+        if self._heartbeat is None:
+            self._heartbeat = asyncio.create_task(self._send_pings())
         logs.event(logging.INFO, "Peer connected", peer=process_id)
         try:
             await self._serve(peer)
         finally:
-            pinger.cancel()
             if self.peers_by_id.get(process_id) is peer:
                 del self.peers_by_id[process_id]
             failure = peer.link.failure
@@ -265,12 +273,13 @@
             return None
         return first if isinstance(first, Hello) else None
 
-    async def _ping(self, link: Link) -> None:
-        sequence = 0
-        while True:
-            sequence += 1
+    async def _send_pings(self) -> None:
+        """Sends one Ping to all peers, encoded once, each second."""
+        for sequence in itertools.count(1):
             now_ms = int(self._clock.monotonic() * 1000)
-            link.send(Ping(sequence, self.revision, now_ms))
+            body = encode(Ping(sequence, self.revision, now_ms))
+            for peer in self.peers_by_id.values():
+                peer.link.send_encoded(body)
             await asyncio.sleep(PING_INTERVAL_S)
 
     def _learn(self, hello: Hello) -> None:
--- a/libs/link/tests/test_codec.py
+++ b/libs/link/tests/test_codec.py
@@ -7,9 +7,11 @@
 from hypothesis import strategies as st
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
-from shallotstand.link.codec import decode, encode
+from shallotstand.link.codec import Encoded, decode, encode
 from shallotstand.link.messages import Frame, Frames, Hello, Message, Ping
 
+HELLO = Hello("entry-1", "entry", "peak-a", "i" * 24, 7)
+
 
 def strategy_for(hint):
     """Returns values that fit a field's type and its size in the schema."""
@@ -47,19 +49,23 @@
 @settings(max_examples=300, derandomize=True, deadline=None)
 @given(st.binary(max_size=200))
 def test_garbage_never_raises(data):
-    decode(data)
+    decode(Encoded(data, packed=False))
+    decode(Encoded(data, packed=True))
 
 
 def test_flipped_bytes_never_raise():
     # A bit flip must cost the sender its connection, not end this process.
-    good = encode(Frames((Frame(1, data=b"x" * 40, reason="late"),) * 3))
-    for index in range(len(good)):
-        decode(good[:index] + bytes([good[index] ^ 0x81]) + good[index + 1 :])
+    frames = Frames((Frame(1, data=b"x" * 40, reason="late"),) * 3)
+    for good in (encode(frames), encode(HELLO)):
+        for index, byte in enumerate(good.body):
+            flipped = bytearray(good.body)
+            flipped[index] = byte ^ 0x81
+            decode(good._replace(body=bytes(flipped)))
 
 
 def test_truncated_message_is_a_failure():
-    good = encode(Hello("entry-1", "entry", "peak-a", "i" * 24, 7))
-    result = decode(good[: len(good) // 2])
+    good = encode(HELLO)
+    result = decode(good._replace(body=good.body[: len(good.body) // 2]))
     assert isinstance(result, Failure)
     assert result.code == ResultCode.BAD_FRAME
 
--- a/libs/link/tests/test_node.py
+++ b/libs/link/tests/test_node.py
@@ -106,7 +106,7 @@
         await a.node.listen()
         good.node.dial(*a.address)
         await until(lambda: "good" in a.node.peers_by_id)
-        for header in (b"\xff\xff\xff\xff", b"\x08\x00\x00\x00garbage!"):
+        for header in (b"\xff\xff\xff\xff", b"\x08\x00\x00\x80garbage!"):
             reader, writer = await asyncio.open_connection(*a.address)
             writer.write(header)
             async with asyncio.timeout(5):
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that the documentation quotes; see docs/measurements.md."""
--- /dev/null
+++ b/measure/control_cost.py
@@ -0,0 +1,242 @@
+"""Cost of control at a sidecar and an entry, by the number of their peers.
+
+Real programs run on loopback; this process plays their peers. No request is
+sent, so everything that is measured is control. One JSON line is written for
+each figure.
+"""
+
+import asyncio
+import json
+import pathlib
+import tempfile
+
+import uvloop
+from shallotstand.core.clock import SystemClock
+from shallotstand.link.messages import (
+    EndpointInfo,
+    EndpointLoad,
+    Hello,
+    Load,
+    Peer,
+)
+from shallotstand.link.node import Identity, Node, PeerConnection
+
+from measure.programs import Slope, fit, free_ports, program, use_over
+
+SECONDS = 10.0
+SETTLE_S = 3.0
+SIDECAR_PEERS = (3, 6, 12, 24)
+ENTRY_SIDECARS = (25, 50, 100, 200)
+ENGINES_PER_SIDECAR = 8
+TWO_YEAR_PEERS = 24
+TWO_YEAR_SIDECARS = 370
+CORE_SHARE_BOUND = 0.016
+MEMORY_BOUND_MB = 64.0
+BYTES_BOUND = 5000.0
+
+
+class PeerStub:
+    """Plays an entry or controller, or a sidecar, of the measured program."""
+
+    def __init__(self, process_id: str, role: str, port: int = 0):
+        address = None
+        if port:
+            address = Peer(process_id, role, "zone-a", "127.0.0.1", port)
+        identity = Identity(
+            process_id, role, "zone-a", process_id + "-1", address
+        )
+        self.node = Node(identity, self.serve, SystemClock(), self.describe)
+        self.bytes_received = 0
+
+    def describe(self, hello: Hello) -> Hello:
+        """Adds engines to the Hello of a sidecar."""
+        if hello.role != "sidecar":
+            return hello
+        return hello._replace(
+            roster=(),
+            endpoints=tuple(
+                EndpointInfo(f"{hello.process_id}-{i}", "m", "zone-a", "1", "")
+                for i in range(ENGINES_PER_SIDECAR)
+            ),
+        )
+
+    async def serve(self, peer: PeerConnection) -> None:
+        """Reads messages; a sidecar also reports its load each second."""
+        report = None
+        if self.node.identity.role == "sidecar":
+            report = asyncio.create_task(self._report(peer))
+        async for _ in peer.messages():
+            pass
+        if report:
+            report.cancel()
+
+    async def _report(self, peer: PeerConnection) -> None:
+        running = 0
+        while True:
+            running += 1
+            peer.send(
+                Load(
+                    tuple(
+                        EndpointLoad(
+                            f"{self.node.identity.process_id}-{i}",
+                            running % 50 + 1,
+                            0,
+                            64,
+                            1000,
+                            "v1",
+                            "live",
+                            (running, running + 1),
+                        )
+                        for i in range(ENGINES_PER_SIDECAR)
+                    )
+                )
+            )
+            await asyncio.sleep(1.0)
+
+    def traffic(self) -> int:
+        """Returns the bytes exchanged on the open connections."""
+        return sum(
+            peer.link.bytes_sent + peer.link.bytes_received
+            for peer in self.node.peers_by_id.values()
+        )
+
+
+async def measure_sidecar(folder: pathlib.Path, peers: int) -> dict:
+    """Measures a sidecar with eight engines and this many peers."""
+    ports = free_ports(peers + 2)
+    stubs = [
+        PeerStub(f"peer-{i}", "entry" if i < peers / 2 else "controller", port)
+        for i, port in enumerate(ports[2:])
+    ]
+    for stub in stubs:
+        await stub.node.listen()
+    engines = "".join(
+        f'[[endpoint]]\nname = "e{i}"\nservice = "m"\n'
+        f'url = "http://127.0.0.1:{ports[0]}"\n'
+        for i in range(ENGINES_PER_SIDECAR)
+    )
+    addresses = ", ".join(f'"127.0.0.1:{port}"' for port in ports[2:])
+    engine = await _serve_load_reports(ports[0])
+    settings = (
+        f'process_id = "sidecar-1"\nzone = "zone-a"\npeers = [{addresses}]\n'
+        f"{engines}"
+    )
+    with program("shallotstand.sidecar.main", settings, folder) as process:
+        await asyncio.sleep(SETTLE_S)
+        connected = sum(bool(stub.node.peers_by_id) for stub in stubs)
+        before = sum(stub.traffic() for stub in stubs)
+        use = await use_over(process, SECONDS)
+        traffic = sum(stub.traffic() for stub in stubs) - before
+    for stub in stubs:
+        await stub.node.close()
+    await engine.cleanup()
+    return {
+        "peers": peers,
+        "connected": connected,
+        "core_share": use.core_share,
+        "resident_mb": use.resident_mb,
+        "bytes_per_s": traffic / SECONDS,
+    }
+
+
+async def _serve_load_reports(port: int):
+    """Answers load requests as an engine whose state always changes."""
+    from aiohttp import web
+
+    count = 0
+
+    async def load(_: web.Request) -> web.Response:
+        nonlocal count
+        count += 1
+        return web.json_response(
+            {
+                "incarnation": "1",
+                "running": count % 50,
+                "queued": 0,
+                "slots": 64,
+                "free_blocks": 1000,
+                "version": "v1",
+                "added": [count, count + 1],
+                "evicted": [],
+            }
+        )
+
+    app = web.Application()
+    app.router.add_get("/load", load)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", port).start()
+    return runner
+
+
+async def measure_entry(folder: pathlib.Path, sidecars: int) -> dict:
+    """Measures an entry with this many sidecars of eight engines each."""
+    listen, peer_listen = free_ports(2)
+    settings = (
+        f'process_id = "entry-1"\nzone = "zone-a"\n'
+        f'listen = "127.0.0.1:{listen}"\n'
+        f'peer_listen = "127.0.0.1:{peer_listen}"\n'
+        f'entries = ["127.0.0.1:{peer_listen}"]\n'
+        f'store_url = "http://127.0.0.1:9"\n'
+    )
+    stubs = [PeerStub(f"sidecar-{i}", "sidecar") for i in range(sidecars)]
+    with program("shallotstand.entry.main", settings, folder) as process:
+        await asyncio.sleep(SETTLE_S)
+        idle = await use_over(process, SETTLE_S)
+        for stub in stubs:
+            stub.node.dial("127.0.0.1", peer_listen)
+        await asyncio.sleep(SETTLE_S)
+        connected = sum(bool(stub.node.peers_by_id) for stub in stubs)
+        before = sum(stub.traffic() for stub in stubs)
+        use = await use_over(process, SECONDS)
+        traffic = sum(stub.traffic() for stub in stubs) - before
+        for stub in stubs:
+            await stub.node.close()
+    return {
+        "sidecars": sidecars,
+        "connected": connected,
+        "core_share": use.core_share,
+        "idle_core_share": idle.core_share,
+        "resident_mb": use.resident_mb,
+        "bytes_per_s": traffic / SECONDS,
+    }
+
+
+def _slope(points: list[dict], size: str, value: str) -> Slope:
+    return fit([(point[size], point[value]) for point in points])
+
+
+def _figure(name: str, unit: str, value: float, target: float | None) -> None:
+    line = {"name": name, "unit": unit, "value": round(value, 5)}
+    if target is not None:
+        line |= {"target": target, "met": value <= target}
+    print(json.dumps(line), flush=True)
+
+
+async def run() -> None:
+    """Measures both programs and prints points, slopes and projections."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        sidecar = [await measure_sidecar(folder, n) for n in SIDECAR_PEERS]
+        entry = [await measure_entry(folder, n) for n in ENTRY_SIDECARS]
+    for point in (*sidecar, *entry):
+        print(json.dumps(point), flush=True)
+    bounds = {
+        "core_share": ("cores", CORE_SHARE_BOUND),
+        "resident_mb": ("MB", MEMORY_BOUND_MB),
+        "bytes_per_s": ("B/s", BYTES_BOUND),
+    }
+    for value, (unit, bound) in bounds.items():
+        slope = _slope(sidecar, "peers", value)
+        _figure(f"sidecar.{value}.per_peer", unit, slope.per_unit, None)
+        _figure(f"sidecar.{value}.at_24", unit, slope.at(TWO_YEAR_PEERS), bound)
+        slope = _slope(entry, "sidecars", value)
+        _figure(f"entry.{value}.per_sidecar", unit, slope.per_unit, None)
+        _figure(
+            f"entry.{value}.at_370", unit, slope.at(TWO_YEAR_SIDECARS), None
+        )
+
+
+if __name__ == "__main__":
+    uvloop.install()
+    asyncio.run(run())
