--- a/apps/standins/src/shallotstand/standins/engine_http.py
+++ b/apps/standins/src/shallotstand/standins/engine_http.py
@@ -1,5 +1,7 @@
 """OpenAI-compatible HTTP front of the stand-in engine."""
 
+import asyncio
+
 import orjson
 from sanic import Request, Sanic
 from sanic.response import HTTPResponse, json, raw, text
@@ -21,6 +23,30 @@
     # Sanic rewrites its own methods once a process; several apps live here.
     app.config.TOUCHUP = False
 
+    connections: set[asyncio.Transport] = set()
+
+    def drop_connections() -> None:
+        for transport in tuple(connections):
+            transport.abort()
+        connections.clear()
+
+    engine.on_crash.append(drop_connections)
+
+    @app.on_request
+    async def note_connection(request: Request) -> HTTPResponse | None:
+        if engine.is_crashed and request.path != "/restart":
+            request.transport.abort()
+            return text("")
+        closed = {held for held in connections if held.is_closing()}
+        connections.difference_update(closed)
+        connections.add(request.transport)
+        return None
+
+    @app.post("/restart")
+    async def restart(_: Request) -> HTTPResponse:
+        engine.restart()
+        return text("")
+
     @app.post("/v1/completions")
     async def complete(request: Request) -> HTTPResponse | None:
         engine.headers_seen.update(header.lower() for header in request.headers)
@@ -37,6 +63,8 @@
             async for token in tokens:
                 count += 1
                 await response.send(_event(model, token, ""))
+            if request.transport.is_closing():
+                return
             last = _event(model, Token("", engine.version), "length")
             await response.send(last)
             await response.send(_usage(model, str(fields["prompt"]), count))
