Add the demo of all programs on this machine

Cause: make demo named a module that did not exist. Conclusion: until the entry adopts configurations, demo_entry reads a whole one from the store; steps of rollout jobs and crashes are not checked yet.

--- /dev/null
+++ b/apps/standins/src/shallotstand/standins/demo_fleet.py
@@ -0,0 +1,193 @@
+"""The programs of the demo and how they are joined."""
+
+import asyncio
+import pathlib
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from shallotstand.settings.options import Host
+from shallotstand.standins.demo_config import MODEL
+from shallotstand.standins.processes import Program, free_address
+
+_SIDECAR_MODULE = "shallotstand.sidecar.main"
+_STANDINS_MODULE = "shallotstand.standins.main"
+# The program of the entry, until it adopts configurations by itself.
+_ENTRY_MODULE = "shallotstand.standins.demo_entry"
+
+
+class EndpointPlan(NamedTuple):
+    """An endpoint and where it stands.
+
+    Attributes:
+      name: Name of the endpoint.
+      service: Service that it serves.
+      kind: `model` or `plain`.
+      address: Where the stand-in listens.
+      sidecar: Name of the sidecar beside it.
+    """
+
+    name: str
+    service: str
+    kind: str
+    address: Host
+    sidecar: str
+
+
+class EntryPlan(NamedTuple):
+    """Addresses of an entry."""
+
+    name: str
+    listen: Host
+    peer_listen: Host
+
+
+class FleetPlan(NamedTuple):
+    """Who runs where.
+
+    Attributes:
+      store: Address of the platform's stand-in.
+      endpoints: Engines and plain services.
+      entries: Entries.
+      engine_fields: Further TOML lines of every engine.
+      entry_fields: Further TOML lines of every entry.
+    """
+
+    store: Host
+    endpoints: tuple[EndpointPlan, ...]
+    entries: tuple[EntryPlan, ...]
+    engine_fields: str = ""
+    entry_fields: str = ""
+
+    @classmethod
+    def demo(cls) -> "FleetPlan":
+        """Three engines and a plain service, two sidecars, two entries."""
+        kinds = (
+            ("e1", MODEL, "model", "sidecar-1"),
+            ("e2", MODEL, "model", "sidecar-1"),
+            ("e3", MODEL, "model", "sidecar-2"),
+            ("q1", "quotes", "plain", "sidecar-2"),
+        )
+        return cls(
+            free_address(),
+            tuple(
+                EndpointPlan(name, service, kind, free_address(), sidecar)
+                for name, service, kind, sidecar in kinds
+            ),
+            tuple(
+                EntryPlan(name, free_address(), free_address())
+                for name in ("entry-1", "entry-2")
+            ),
+        )
+
+    def addresses_by_service(self) -> dict[str, dict[str, str]]:
+        """Returns the addresses of endpoints by name, by service."""
+        return {
+            service: {
+                endpoint.name: str(endpoint.address)
+                for endpoint in self.endpoints
+                if endpoint.service == service
+            }
+            for service in {endpoint.service for endpoint in self.endpoints}
+        }
+
+
+class Fleet:
+    """The running programs.
+
+    Attributes:
+      plan: Who runs where.
+      programs_by_name: Programs that were started.
+    """
+
+    def __init__(self, plan: FleetPlan, directory: pathlib.Path):
+        self.plan = plan
+        self.programs_by_name: dict[str, Program] = {}
+        self._directory = directory
+
+    async def start(self) -> None:
+        """Starts every program; the order is of no importance to them."""
+        sidecars = sorted({e.sidecar for e in self.plan.endpoints})
+        starts = [
+            self._start("platform", _STANDINS_MODULE, self._platform()),
+            self._start("endpoints", _STANDINS_MODULE, self._endpoints()),
+            *(
+                self._start(name, _SIDECAR_MODULE, self._sidecar(name))
+                for name in sidecars
+            ),
+            *(
+                self._start(entry.name, _ENTRY_MODULE, self._entry(entry))
+                for entry in self.plan.entries
+            ),
+        ]
+        results = await asyncio.gather(*starts, return_exceptions=True)
+        for result in results:
+            if isinstance(result, BaseException):
+                await self.stop()
+                raise result
+
+    async def stop(self) -> dict[str, int]:
+        """Ends every program and returns the exit statuses by name."""
+        programs = self.programs_by_name.values()
+        statuses = await asyncio.gather(*(p.stop() for p in programs))
+        return dict(zip(self.programs_by_name, statuses, strict=True))
+
+    async def start_endpoints(self) -> None:
+        """Starts the endpoints' program again after its end."""
+        await self._start("endpoints", _STANDINS_MODULE, self._endpoints())
+
+    async def _start(self, name: str, module: str, settings: str) -> None:
+        self.programs_by_name[name] = await Program.start(
+            name, module, settings, self._directory
+        )
+
+    def _platform(self) -> str:
+        return f'[[platform]]\nlisten = "{self.plan.store}"\n'
+
+    def _endpoints(self) -> str:
+        return "".join(self._endpoint(e) for e in self.plan.endpoints)
+
+    def _endpoint(self, endpoint: EndpointPlan) -> str:
+        lines = [f'name = "{endpoint.name}"', f'listen = "{endpoint.address}"']
+        if endpoint.kind == "plain":
+            return _table("plain", lines)
+        fields = [f'model = "{MODEL}"', self.plan.engine_fields]
+        return _table("engine", lines + fields)
+
+    def _sidecar(self, name: str) -> str:
+        peers = [str(entry.peer_listen) for entry in self.plan.entries]
+        lines = [
+            f'process_id = "{name}"',
+            'zone = "peak-a"',
+            f"peers = {peers}",
+        ]
+        tables = [
+            _table(
+                "endpoint",
+                [
+                    f'name = "{endpoint.name}"',
+                    f'service = "{endpoint.service}"',
+                    f'kind = "{endpoint.kind}"',
+                    f'url = "http://{endpoint.address}"',
+                ],
+            )
+            for endpoint in self.plan.endpoints
+            if endpoint.sidecar == name
+        ]
+        return "\n".join((*lines, *tables))
+
+    def _entry(self, entry: EntryPlan) -> str:
+        peers = [str(held.peer_listen) for held in self.plan.entries]
+        lines = [
+            f'process_id = "{entry.name}"',
+            'zone = "peak-a"',
+            f'listen = "{entry.listen}"',
+            f'peer_listen = "{entry.peer_listen}"',
+            f"entries = {peers}",
+            f'store_url = "http://{self.plan.store}"',
+            self.plan.entry_fields,
+        ]
+        return "\n".join(lines)
+
+
+def _table(name: str, lines: Iterable[str]) -> str:
+    return "\n".join((f"[[{name}]]", *lines, ""))
--- a/apps/standins/src/shallotstand/standins/engine.py
+++ b/apps/standins/src/shallotstand/standins/engine.py
@@ -153,7 +153,7 @@
                 if incarnation != self.incarnation or self.is_crashed:
                     return
                 done += 1
-                yield Token(_word(prompt, index), self.version)
+                yield Token(token_text(prompt, index), self.version)
         finally:
             self.runs.append(
                 EngineRun(request_id, prompt, done, done == max_tokens)
@@ -294,6 +294,7 @@
     )
 
 
-def _word(prompt: str, index: int) -> str:
+def token_text(prompt: str, index: int) -> str:
+    """Returns the token that every engine generates at an index."""
     digest = hashlib.blake2b(f"{index}:{prompt}".encode(), digest_size=3)
     return digest.hexdigest() + " "
