--- a/apps/standins/src/shallotstand/standins/object_store.py
+++ b/apps/standins/src/shallotstand/standins/object_store.py
@@ -1,5 +1,8 @@
 """A small stand-in for the platform's object API."""
 
+# The method `list` would otherwise hide the type in later annotations.
+from __future__ import annotations
+
 import asyncio
 import collections
 import random
