--- a/libs/core/src/shallotstand/core/codes.py
+++ b/libs/core/src/shallotstand/core/codes.py
@@ -52,11 +52,13 @@
     SERVICE_WITHOUT_ENDPOINTS = 3006
     STALENESS_UNREACHABLE = 3007
     LIMITS_EXCEED_WHOLE = 3008
+    PATH_CLASH = 3009
     PUBLISH_CONFLICT = 3010
     PUBLISH_UNCONFIRMED = 3011
     REVISION_GAP = 3012
     REVISION_OLDER = 3013
     DIGEST_MISMATCH = 3014
+    SET_INVALID = 3015
 
     LEASE_HELD = 4001
     LEASE_LAPSED = 4002
@@ -196,6 +198,7 @@
     ResultCode.LIMITS_EXCEED_WHOLE: CodeInfo(
         400, "Guaranteed limits add up to more than the service has."
     ),
+    ResultCode.PATH_CLASH: CodeInfo(400, "The paths of two services overlap."),
     ResultCode.PUBLISH_CONFLICT: CodeInfo(
         409, "Another operator published first; the answer names the changes."
     ),
@@ -211,6 +214,9 @@
     ResultCode.DIGEST_MISMATCH: CodeInfo(
         409, "The configuration's content does not match its digest."
     ),
+    ResultCode.SET_INVALID: CodeInfo(
+        400, "The set of objects has errors; nothing was published."
+    ),
     ResultCode.LEASE_HELD: CodeInfo(409, "Another process holds the scope."),
     ResultCode.LEASE_LAPSED: CodeInfo(
         409, "This process's lease has no time left."
--- a/libs/objects/src/shallotstand/objects/types.py
+++ b/libs/objects/src/shallotstand/objects/types.py
@@ -1,6 +1,7 @@
 """The objects by which operators describe what they want."""
 
-from typing import NamedTuple
+from collections.abc import Mapping
+from typing import Any, NamedTuple
 
 
 class ClientAccount(NamedTuple):
@@ -20,6 +21,11 @@
     max_concurrency: int
     internal: bool
 
+    @classmethod
+    def from_config(cls, config: Mapping[str, Any]) -> "ClientAccount":
+        """Makes the object from a table that passed its check."""
+        return cls(**_as_floats(config, "weight", "tokens_per_second"))
+
 
 class Key(NamedTuple):
     """A caller's key; only its hash is known.
@@ -34,6 +40,11 @@
     account: str
     hash: str
 
+    @classmethod
+    def from_config(cls, config: Mapping[str, Any]) -> "Key":
+        """Makes the object from a table that passed its check."""
+        return cls(**config)
+
 
 class Endpoint(NamedTuple):
     """A back end that runs requests of a service."""
@@ -43,6 +54,11 @@
     zone: str
     instance: str
 
+    @classmethod
+    def from_config(cls, config: Mapping[str, Any]) -> "Endpoint":
+        """Makes the endpoint from a table that passed its check."""
+        return cls(**{**config, "address": str(config["address"])})
+
 
 class Service(NamedTuple):
     """What callers can call.
@@ -61,6 +77,8 @@
       tokens_per_second: What all endpoints yield together; 0 if unknown.
       max_queue: Most waiting requests of one client account.
       deadline_s: Longest time from arrival to the end of an answer.
+      weights_interval_s: Seconds between new versions of the model; 0 if they
+        come at no regular time.
     """
 
     name: str
@@ -76,6 +94,23 @@
     tokens_per_second: float
     max_queue: int
     deadline_s: float
+    weights_interval_s: float = 0.0
+
+    @classmethod
+    def from_config(cls, config: Mapping[str, Any]) -> "Service":
+        """Makes the object from a table that passed its check."""
+        numbers = _as_floats(
+            config, "tokens_per_second", "deadline_s", "weights_interval_s"
+        )
+        endpoints = tuple(map(Endpoint.from_config, config["endpoints"]))
+        statuses = tuple(config["not_run_statuses"])
+        return cls(
+            **{
+                **numbers,
+                "endpoints": endpoints,
+                "not_run_statuses": statuses,
+            }
+        )
 
 
 class ModelVersion(NamedTuple):
@@ -93,6 +128,11 @@
     number: int
     weights: str
 
+    @classmethod
+    def from_config(cls, config: Mapping[str, Any]) -> "ModelVersion":
+        """Makes the object from a table that passed its check."""
+        return cls(**config)
+
 
 class RolloutJob(NamedTuple):
     """A trainer's job, which asks for steps of groups of samples.
@@ -119,6 +159,11 @@
     after: str
     step_deadline_s: float
 
+    @classmethod
+    def from_config(cls, config: Mapping[str, Any]) -> "RolloutJob":
+        """Makes the object from a table that passed its check."""
+        return cls(**_as_floats(config, "step_deadline_s"))
+
 
 class Catalog(NamedTuple):
     """A whole configuration that passed the check.
@@ -143,3 +188,8 @@
     def empty(cls) -> "Catalog":
         """Returns the configuration before the first publication."""
         return cls(0, {}, {}, {}, {}, {})
+
+
+def _as_floats(config: Mapping[str, Any], *names: str) -> dict[str, Any]:
+    """Returns the table with fractions, since 1 and 1.0 encode differently."""
+    return {**config, **{name: float(config[name]) for name in names}}
