--- /dev/null
+++ b/libs/control/src/shallotstand/control/config_store.py
@@ -0,0 +1,194 @@
+"""The published configuration as it lies in the platform's store."""
+
+from typing import Any, NamedTuple
+
+import orjson
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.objects.delta import Delta, apply_delta
+from shallotstand.objects.encoding import catalog_digest, join_snapshot
+from shallotstand.objects.types import Catalog
+from shallotstand.platform.conditional import (
+    DEFAULT_BACKOFF,
+    Backoff,
+    Value,
+    read_object,
+)
+from shallotstand.platform.protocols import ObjectStore, StoredObject
+
+HEAD_KEY = "config/head"
+# A fresh process reads at most this many deltas after the snapshot.
+SNAPSHOT_INTERVAL = 100
+
+
+class Head(NamedTuple):
+    """What `config/head` says.
+
+    Attributes:
+      revision: The published revision; 0 before the first publication.
+      digest: Digest of its objects; empty before the first publication.
+      snapshot_revision: Revision of the last snapshot; 0 for none.
+      snapshot_digest: Digest of its objects.
+      snapshot_parts: Number of its parts.
+      withdrawn: Hashes of keys withdrawn in an emergency, sorted. Hashes are
+        only ever added, so no later publication brings such a key back.
+    """
+
+    revision: int = 0
+    digest: str = ""
+    snapshot_revision: int = 0
+    snapshot_digest: str = ""
+    snapshot_parts: int = 0
+    withdrawn: tuple[str, ...] = ()
+
+    @classmethod
+    def from_config(cls, value: Value | None) -> "Head":
+        """Makes the head of a stored value; None if there is no object."""
+        known = {k: v for k, v in (value or {}).items() if k in cls._fields}
+        return cls(**known)._replace(
+            withdrawn=tuple(known.get("withdrawn", ()))
+        )
+
+    @classmethod
+    def decode(cls, stored: StoredObject) -> "Head | Failure":
+        """Returns the head of a stored object.
+
+        Errors:
+          DIGEST_MISMATCH: The object is not a head.
+        """
+        try:
+            return cls.from_config(orjson.loads(stored.value))
+        except (ValueError, AttributeError, TypeError) as error:
+            return Failure(ResultCode.DIGEST_MISMATCH, f"Head: {error}.")
+
+    def to_value(self) -> dict[str, Any]:
+        """Returns the value to store."""
+        return self._asdict()
+
+
+def delta_key(revision: int, digest: str) -> str:
+    """Returns the key of a delta.
+
+    The digest is in it because a publisher that lost the race, or ended
+    before it moved the head, leaves a delta of the same revision behind.
+    """
+    return f"config/delta/{revision}/{digest}"
+
+
+def snapshot_key(revision: int, digest: str, part: int) -> str:
+    """Returns the key of a part of a snapshot."""
+    return f"config/snapshot/{revision}/{digest}/{part}"
+
+
+async def read_head(
+    store: ObjectStore, backoff: Backoff = DEFAULT_BACKOFF
+) -> Head | Failure:
+    """Reads the head; revision 0 if nothing was published.
+
+    Errors:
+      STORE_UNAVAILABLE: No answer.
+      DIGEST_MISMATCH: The object is not a head.
+    """
+    stored = await read_object(store, HEAD_KEY, backoff)
+    if not isinstance(stored, Failure):
+        return Head.decode(stored)
+    if stored.code == ResultCode.OBJECT_NOT_FOUND:
+        return Head()
+    return stored
+
+
+async def read_catalog(
+    store: ObjectStore,
+    head: Head,
+    held: Catalog,
+    backoff: Backoff = DEFAULT_BACKOFF,
+) -> Catalog | Failure:
+    """Reads the catalog of a head.
+
+    Only deltas are read if they follow the held catalog; else the snapshot
+    and the deltas after it.
+
+    Args:
+      store: The platform's object API.
+      head: The head, read before.
+      held: A published catalog that the caller has.
+      backoff: Delays between repeated calls.
+
+    Errors:
+      REVISION_OLDER: The head is older than the held catalog.
+      STORE_UNAVAILABLE: No answer.
+      OBJECT_NOT_FOUND: A delta or part is missing.
+      DIGEST_MISMATCH: The content is damaged.
+    """
+    if held.revision > head.revision:
+        return Failure(
+            ResultCode.REVISION_OLDER,
+            f"Head is at {head.revision}, {held.revision} is held.",
+        )
+    if held.revision >= head.snapshot_revision:
+        result = await _follow(store, head, held, backoff)
+        if not isinstance(result, Failure):
+            return result
+        if result.code == ResultCode.STORE_UNAVAILABLE:
+            return result
+    snapshot = await _read_snapshot(store, head, backoff)
+    if isinstance(snapshot, Failure):
+        return snapshot
+    return await _follow(store, head, snapshot, backoff)
+
+
+async def _follow(
+    store: ObjectStore, head: Head, held: Catalog, backoff: Backoff
+) -> Catalog | Failure:
+    """Applies the deltas between a catalog and the head."""
+    deltas = await _read_deltas(store, head, held, backoff)
+    if isinstance(deltas, Failure):
+        return deltas
+    catalog = held
+    for delta in reversed(deltas):
+        applied = apply_delta(catalog, delta)
+        if isinstance(applied, Failure):
+            return applied
+        catalog = applied
+    if head.digest and catalog_digest(catalog) != head.digest:
+        return Failure(ResultCode.DIGEST_MISMATCH, "Not the head's content.")
+    return catalog
+
+
+async def _read_deltas(
+    store: ObjectStore, head: Head, held: Catalog, backoff: Backoff
+) -> list[Delta] | Failure:
+    """Reads deltas from the head back to a catalog, newest first.
+
+    Each delta names the digest of its base, which leads to the delta before.
+    """
+    deltas: list[Delta] = []
+    revision, digest = head.revision, head.digest
+    while revision > held.revision:
+        key = delta_key(revision, digest)
+        stored = await read_object(store, key, backoff)
+        if isinstance(stored, Failure):
+            return stored
+        delta = Delta.decode(stored.value)
+        if isinstance(delta, Failure):
+            return delta
+        if delta.base >= revision:
+            return Failure(ResultCode.DIGEST_MISMATCH, f"{key} leads nowhere.")
+        deltas.append(delta)
+        revision, digest = delta.base, delta.base_digest
+    return deltas
+
+
+async def _read_snapshot(
+    store: ObjectStore, head: Head, backoff: Backoff
+) -> Catalog | Failure:
+    if head.snapshot_revision == 0:
+        return Catalog.empty()
+    parts: list[bytes] = []
+    for part in range(head.snapshot_parts):
+        key = snapshot_key(head.snapshot_revision, head.snapshot_digest, part)
+        stored = await read_object(store, key, backoff)
+        if isinstance(stored, Failure):
+            return stored
+        parts.append(stored.value)
+    return join_snapshot(parts, head.snapshot_revision, head.snapshot_digest)
