Wire configuration adoption into the entry

Cause: the entry served an empty catalog and ignored Config messages. Change: ConfigSync follows the store's head, answers and asks peers, spreads withdrawals and writes them when the store returns. The gateway refuses all requests until a configuration is confirmed, and keyed ones while isolated. PeerConnection gains on_ping. A Ping counts against isolation only from a peer that serves by a configuration: one that restarted may have lost a withdrawal. Result: tests run entries over loopback links with the stand-in store; a stateful test restarts five processes under store faults, cut links and operators' races and finds no accepted revision reverted.

--- a/apps/entry/src/shallotstand/entry/gateway.py
+++ b/apps/entry/src/shallotstand/entry/gateway.py
@@ -123,6 +123,7 @@
     Attributes:
       activity: Requests that have arrived and not ended.
       refusal: Why new requests are refused; None while they are served.
+      keyed_refusal: Returns why requests with a key are refused, or None.
     """
 
     def __init__(
@@ -145,6 +146,7 @@
         self._answers_by_key: dict[str, set[OpenAnswer]] = {}
         self.activity = Activity()
         self.refusal: Failure | None = None
+        self.keyed_refusal: Callable[[], Failure | None] = lambda: None
 
     def adopt(self, catalog: Catalog) -> None:
         """Serves by a new configuration from now on.
@@ -257,6 +259,9 @@
     ) -> Principal | Failure:
         if service.open:
             return Principal(None, None)
+        refusal = self.keyed_refusal()
+        if refusal is not None:
+            return refusal
         if not secret:
             return Failure(ResultCode.KEY_MISSING, "Send a bearer key.")
         key = self._keys.find(secret)
--- a/apps/entry/src/shallotstand/entry/main.py
+++ b/apps/entry/src/shallotstand/entry/main.py
@@ -8,17 +8,21 @@
 import cappa
 import uvloop
 from absl import logging
+from shallotstand.control.adoption import ConfigKeeper
 from shallotstand.core import logs
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.core.ids import new_id
+from shallotstand.entry.config_sync import ConfigSync, serve_by
 from shallotstand.entry.gateway import Gateway
 from shallotstand.entry.http_front import make_app
 from shallotstand.entry.settings import TABLE, EntrySettings
 from shallotstand.entry.sidecars import Fleet, FleetListener
 from shallotstand.link.messages import Peer
 from shallotstand.link.node import Identity, Node, PeerConnection
+from shallotstand.platform.absent_store import AbsentStore
+from shallotstand.platform.protocols import ObjectStore
 from shallotstand.serving.first_come import FirstComeAdmission
 from shallotstand.serving.retries import BudgetedRetries
 from shallotstand.serving.routing import LeastLoadedRouter
@@ -28,7 +32,7 @@
 class Entry:
     """The parts of an entry process, put together from its settings."""
 
-    def __init__(self, settings: EntrySettings):
+    def __init__(self, settings: EntrySettings, store: ObjectStore):
         clock = SystemClock()
         rng = random.Random()
         self.settings = settings
@@ -59,11 +63,16 @@
             ),
         )
         self.node = Node(identity, self._serve_peer, clock)
+        keeper = ConfigKeeper(str(address), map(str, settings.entries), clock)
+        serve_by(keeper, self.gateway)
+        self.config_sync = ConfigSync(keeper, store, self.node)
 
     @classmethod
-    def from_config(cls, settings: EntrySettings) -> "Entry":
+    def from_config(
+        cls, settings: EntrySettings, store: ObjectStore
+    ) -> "Entry":
         """Makes an entry from checked settings."""
-        return cls(settings)
+        return cls(settings, store)
 
     async def run(self) -> None:
         """Serves until SIGTERM, then until the answers have ended."""
@@ -75,6 +84,7 @@
         await self.node.listen()
         for address in self.settings.entries:
             self.node.dial(address.host, address.port)
+        self.config_sync.start()
         http_server = await app.create_server(
             host=self.settings.listen.host,
             port=self.settings.listen.port,
@@ -86,16 +96,17 @@
         await stopping.wait()
         await self._drain()
         await http_server.close()
+        await self.config_sync.close()
         await self.node.close()
         logs.event(logging.INFO, "Stopped")
 
     async def _serve_peer(self, peer: PeerConnection) -> None:
         """Handles one peer until its connection ends."""
+        self.config_sync.observe(peer)
         if peer.hello.role == "sidecar":
             await self.fleet.serve(peer)
-            return
-        async for _ in peer.messages():
-            pass
+        else:
+            await self.config_sync.serve(peer)
 
     async def _drain(self) -> None:
         self.gateway.refusal = Failure(
@@ -114,7 +125,7 @@
     checked = EntrySettings.from_config(load_or_exit(settings, TABLE))
     logs.configure("shallotstand-entry", checked.process_id, checked.log_level)
     uvloop.install()
-    asyncio.run(Entry.from_config(checked).run())
+    asyncio.run(Entry.from_config(checked, AbsentStore()).run())
 
 
 def main() -> None:
--- /dev/null
+++ b/apps/entry/tests/test_config_sync.py
@@ -0,0 +1,232 @@
+"""Entries over real links and a stand-in store that fails."""
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+from shallotstand.control.adoption import ConfigKeeper
+from shallotstand.control.config_store import read_head
+from shallotstand.control.publication import publish
+from shallotstand.core.clock import ManualClock, SystemClock
+from shallotstand.core.codes import ResultCode as Code
+from shallotstand.core.failure import Failure
+from shallotstand.entry.config_sync import ConfigSync, serve_by
+from shallotstand.entry.gateway import CallerRequest, Gateway
+from shallotstand.entry.main import Entry
+from shallotstand.entry.settings import EntrySettings
+from shallotstand.link.messages import Peer
+from shallotstand.link.node import Identity, Node
+from shallotstand.objects.keys import hash_key
+from shallotstand.objects.types import Catalog, ClientAccount, Key, Service
+from shallotstand.platform.conditional import Backoff
+from shallotstand.settings.options import Host
+from shallotstand.standins.object_store import StandinObjectStore, StoreFaults
+
+FAST = Backoff(attempts=4, first_s=0.01, longest_s=0.05)
+DOWN, UP = StoreFaults(down=True), StoreFaults()
+CATALOG = Catalog.empty()._replace(
+    accounts_by_name={"club": ClientAccount("club", 1.0, 0.0, 0, False)},
+    keys_by_name={"k": Key("k", "club", hash_key("secret"))},
+    services_by_name={
+        name: Service(
+            *(name, "plain", "", f"/{name}", is_open, False, (), True, ()),
+            *(10, 0.0, 100, 0.2),
+        )
+        for name, is_open in (("open", True), ("keyed", False))
+    },
+)
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class SmallEntry:
+    """The parts of an entry that concern its configuration."""
+
+    def __init__(self, ports, number, store, clock=None):
+        address = Peer(f"e{number}", "entry", "z", "127.0.0.1", ports[number])
+        names = [f"127.0.0.1:{port}" for port in ports]
+        self.ports = ports
+        self.keeper = ConfigKeeper(names[number], names, clock or SystemClock())
+        # Neither routing nor admission is reached by these requests.
+        self.gateway = Gateway("z", None, None, Refusing(), None, SystemClock())
+        identity = Identity(f"e{number}", "entry", "z", f"{id(self)}", address)
+        self.node = Node(identity, self.serve, SystemClock())
+        serve_by(self.keeper, self.gateway)
+        self.sync = ConfigSync(self.keeper, store, self.node, FAST)
+
+    async def serve(self, peer):
+        self.sync.observe(peer)
+        await self.sync.serve(peer)
+
+    async def __aenter__(self):
+        await self.node.listen()
+        for port in self.ports:
+            self.node.dial("127.0.0.1", port)
+        self.sync.start()
+        return self
+
+    async def __aexit__(self, *_):
+        await self.sync.close()
+        await self.node.close()
+
+    async def code(self, path="/keyed") -> Code:
+        request = CallerRequest(path, "secret", b"")
+        return (await self.gateway.serve(request)).code
+
+
+class Refusing:
+    """Admits nothing; the code shows that a request came this far."""
+
+    async def admit(self, ticket):
+        return Failure(Code.QUEUE_FULL, "full")
+
+
+ADMITTED = Code.QUEUE_FULL
+
+
+async def until(condition, timeout_s=8.0) -> None:
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+def at(revision, *entries):
+    return lambda: all(
+        e.keeper.is_confirmed and e.keeper.catalog.revision == revision
+        for e in entries
+    )
+
+
+def run(scenario) -> None:
+    async def body():
+        async with contextlib.AsyncExitStack() as stack:
+            store = StandinObjectStore()
+            await publish(store, Catalog.empty(), CATALOG, FAST)
+            ports = [free_port() for _ in range(3)]
+
+            async def start(number, **options):
+                entry = SmallEntry(ports, number, store, **options)
+                return await stack.enter_async_context(entry)
+
+            await scenario(store, start)
+
+    asyncio.run(body())
+
+
+def test_fresh_entry_starts_from_a_majority_while_the_store_is_down():
+    async def scenario(store, start):
+        a, b = await start(0), await start(1)
+        await until(at(1, a, b))
+        await store.set_faults(DOWN)
+        c = await start(2)
+        assert await c.code() == Code.CONFIG_UNCONFIRMED
+        await until(at(1, c))
+        assert await c.code() == ADMITTED
+
+    run(scenario)
+
+
+def test_fresh_entries_refuse_without_a_majority_until_the_store_returns():
+    async def scenario(store, start):
+        a = await start(0)
+        await until(at(1, a))
+        await store.set_faults(DOWN)
+        b, c = await start(1), await start(2)
+        await until(lambda: len(a.node.peers_by_id) == 2)
+        await asyncio.sleep(0.3)
+        assert await b.code("/open") == Code.CONFIG_UNCONFIRMED
+        assert await c.code() == Code.CONFIG_UNCONFIRMED
+        await store.set_faults(UP)
+        await until(at(1, b, c))
+
+    run(scenario)
+
+
+def test_entry_cut_off_from_the_store_follows_its_peers():
+    async def scenario(store, start):
+        a = await start(0)
+        await until(at(1, a))
+        b = await start(1)
+        await until(at(1, a, b))
+        await b.sync.close()
+        target = CATALOG._replace(keys_by_name={})
+        await publish(store, a.keeper.catalog, target, FAST)
+        await until(at(2, a, b))
+        assert await b.code() == Code.KEY_UNKNOWN
+
+    run(scenario)
+
+
+def test_withdrawal_during_an_outage_holds_everywhere_and_is_saved():
+    async def scenario(store, start):
+        entries = a, b, c = [await start(number) for number in range(3)]
+        await until(at(1, *entries))
+        await until(lambda: len(a.node.peers_by_id) == 2)
+        await store.set_faults(DOWN)
+        a.sync.withdraw([hash_key("secret")])
+        await until(lambda: all(e.keeper.withdrawn for e in entries))
+        for entry in (a, b, c):
+            assert await entry.code() == Code.KEY_UNKNOWN
+        await store.set_faults(UP)
+        async with asyncio.timeout(8):
+            while not (head := await read_head(store, FAST)).withdrawn:
+                await asyncio.sleep(0.05)
+        assert head.withdrawn == (hash_key("secret"),)
+        assert head.revision == 1
+
+    run(scenario)
+
+
+def test_isolated_entry_refuses_keys_but_serves_open_routes():
+    async def scenario(store, start):
+        clock = ManualClock()
+        a = await start(0, clock=clock)
+        await until(at(1, a))
+        await store.set_faults(DOWN)
+        assert await a.code() == ADMITTED
+        clock.advance(4.1)
+        assert await a.code() == Code.CONFIG_UNCONFIRMED
+        assert await a.code("/open") == ADMITTED
+        await start(1)
+        await until(lambda: a.node.peers_by_id)
+        await asyncio.sleep(0.2)  # its first Ping; it serves by nothing yet
+        assert await a.code() == Code.CONFIG_UNCONFIRMED
+        await store.set_faults(UP)
+        await until(lambda: a.gateway.keyed_refusal() is None)
+        assert await a.code() == ADMITTED
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("shutting_down", [False, True])
+def test_adoption_ends_only_its_own_refusal(shutting_down):
+    keeper = ConfigKeeper("a", ["a"], ManualClock())
+    gateway = Gateway("z", None, None, Refusing(), None, ManualClock())
+    serve_by(keeper, gateway)
+    if shutting_down:
+        gateway.refusal = Failure(Code.SHUTTING_DOWN, "")
+    keeper.take_from_store(CATALOG._replace(revision=1))
+    assert (gateway.refusal is not None) == shutting_down
+
+
+def test_entry_program_serves_by_the_store_that_it_is_given():
+    async def body():
+        store = StandinObjectStore()
+        await publish(store, Catalog.empty(), CATALOG, FAST)
+        listen, peers = (Host("127.0.0.1", free_port()) for _ in range(2))
+        settings = EntrySettings(
+            *("e", "z", "info", listen, peers, (peers,), "http://x"),
+            *(1024, 1.0, 1.0, True),
+        )
+        entry = Entry.from_config(settings, store)
+        assert entry.gateway.refusal.code == Code.CONFIG_UNCONFIRMED
+        entry.config_sync.start()
+        await until(lambda: entry.gateway.refusal is None)
+        await entry.config_sync.close()
+
+    asyncio.run(body())
--- a/libs/control/src/shallotstand/control/adoption.py
+++ b/libs/control/src/shallotstand/control/adoption.py
@@ -86,6 +86,7 @@
         self._clock = clock
         self._listeners: list[Callable[[Catalog], None]] = []
         self._offers_by_peer: dict[str, Catalog] = {}
+        self._serving_peers: set[str] = set()
         self._heard_at_by_peer: dict[str, float] = {}
         self._store_heard_at = -math.inf
         self._changes: collections.deque[Offer] = collections.deque(
@@ -124,7 +125,9 @@
         """Returns why requests with a key are refused; None if they aren't.
 
         A majority of the listed entries, this one counted, is enough: it has
-        an entry in common with the majority that holds any withdrawal.
+        an entry in common with the majority that holds any withdrawal. Peers
+        that serve by nothing yet don't count, since a restart made them
+        forget the withdrawals.
         """
         return _ISOLATED if self.is_silent_for(ISOLATION_S) else None
 
@@ -142,7 +145,13 @@
 
     def hear_peer(self, peer: str, revision: int) -> None:
         """Notes a Ping and the revision that it names."""
-        self._heard_at_by_peer[peer] = self._clock.monotonic()
+        if peer in self._serving_peers:
+            self._heard_at_by_peer[peer] = self._clock.monotonic()
+        self.note_named(revision)
+
+    def note_held(self, peer: str, revision: int) -> None:
+        """Notes that a peer serves by a revision."""
+        self._serving_peers.add(peer)
         self.note_named(revision)
 
     def note_named(self, revision: int) -> None:
@@ -150,11 +159,12 @@
         self.highest_named = max(self.highest_named, revision)
 
     def forget_peer(self, peer: str) -> None:
-        """Drops the offer of a peer whose connection ended.
+        """Drops what a peer said whose connection ended.
 
         The peer may adopt a newer revision from now on without telling.
         """
         self._offers_by_peer.pop(peer, None)
+        self._serving_peers.discard(peer)
 
     def take_from_store(self, catalog: Catalog) -> Failure | None:
         """Adopts what the store's head leads to.
--- a/libs/control/tests/test_adoption.py
+++ b/libs/control/tests/test_adoption.py
@@ -120,8 +120,11 @@
     assert held.keyed_refusal() is None
     clock.advance(0.1)
     assert held.keyed_refusal().code == Code.CONFIG_UNCONFIRMED
+    held.note_held("controller", 5)
     held.hear_peer("controller", 5)
+    held.hear_peer("e3", 5)  # restarted: it may have lost a withdrawal
     assert held.keyed_refusal() is not None
+    held.note_held("e3", 5)
     held.hear_peer("e3", 5)
     assert held.keyed_refusal() is None
     clock.advance(4.1)
--- /dev/null
+++ b/libs/control/tests/test_adoption_stateful.py
@@ -0,0 +1,253 @@
+"""Publication and adoption under random failures, against a simple oracle.
+
+Guards against a process that goes back behind a revision which a majority of
+the listed entries has confirmed, whatever fails and restarts.
+"""
+
+import asyncio
+import itertools
+
+import orjson
+from catalogs import key_hash, make
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+from shallotstand.control.adoption import ConfigKeeper
+from shallotstand.control.config_store import HEAD_KEY, read_catalog, read_head
+from shallotstand.control.publication import publish, save_withdrawals
+from shallotstand.core.clock import ManualClock
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.objects.types import Catalog
+from shallotstand.platform.conditional import Backoff
+from shallotstand.standins.object_store import StandinObjectStore, StoreFaults
+
+NAMES = ("e0", "e1", "e2", "e3", "e4")
+PROCESSES = st.sampled_from(NAMES)
+MAJORITY = 3
+BACKOFF = Backoff(attempts=3, first_s=0, longest_s=0)
+
+
+class Process:
+    """One run of an entry; a restart makes a new one."""
+
+    def __init__(self, name, clock, on_adopted):
+        self.name = name
+        self.keeper = ConfigKeeper(name, NAMES, clock)
+        self.told = []
+        self.on_adopted = on_adopted
+        self.keeper.subscribe(self.tell)
+
+    def tell(self, catalog):
+        self.told.append(catalog)
+        self.on_adopted(self)
+
+
+class Deployment(RuleBasedStateMachine):
+    """Five entries, one store, links that come and go."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.clock = ManualClock()
+        self.store = StandinObjectStore(seed=7)
+        self.links = {frozenset(p) for p in itertools.combinations(NAMES, 2)}
+        self.confirmers_by_revision = {}
+        self.published = {0: make(0)}
+        self.by_name = {}
+
+    def teardown(self):
+        self.loop.close()
+
+    def run(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    @property
+    def accepted(self):
+        return max(
+            (
+                revision
+                for revision, names in self.confirmers_by_revision.items()
+                if len(names) >= MAJORITY
+            ),
+            default=0,
+        )
+
+    def linked(self, process):
+        return [
+            other
+            for other in self.by_name.values()
+            if frozenset((process.name, other.name)) in self.links
+        ]
+
+    def on_adopted(self, process):
+        catalog = process.keeper.catalog
+        # The oracle: never behind what a majority confirmed before.
+        if len(process.told) == 1:
+            assert catalog.revision >= self.accepted
+        assert catalog == self.published[catalog.revision]
+        for revision in range(1, catalog.revision + 1):
+            names = self.confirmers_by_revision.setdefault(revision, set())
+            names.add(process.name)
+        for other in self.linked(process):
+            other.keeper.note_held(process.name, catalog.revision)
+
+    def start_process(self, name):
+        for other in self.by_name.values():
+            other.keeper.forget_peer(name)
+        self.by_name[name] = Process(name, self.clock, self.on_adopted)
+
+    @initialize()
+    def start_all(self):
+        for name in NAMES:
+            self.start_process(name)
+            self.read_store(name)
+
+    @rule(name=PROCESSES)
+    def restart(self, name):
+        self.start_process(name)
+
+    @rule(
+        faults=st.sampled_from(
+            (
+                StoreFaults(),
+                StoreFaults(),
+                StoreFaults(down=True),
+                StoreFaults(lost_answers=0.5),
+                StoreFaults(late_writes=1),
+                StoreFaults(late_writes=5),
+            )
+        )
+    )
+    def set_faults(self, faults):
+        self.run(self.store.set_faults(faults))
+
+    @rule()
+    def deliver_late_writes(self):
+        self.run(self.store.deliver_late())
+        self.note_published()
+
+    @rule(first=PROCESSES, second=PROCESSES)
+    def toggle_link(self, first, second):
+        if first == second:
+            return
+        self.links ^= {frozenset((first, second))}
+        if frozenset((first, second)) not in self.links:
+            self.by_name[first].keeper.forget_peer(second)
+            self.by_name[second].keeper.forget_peer(first)
+
+    @rule(name=PROCESSES, accounts=st.sets(st.sampled_from("abc")))
+    def operator_publishes(self, name, accounts):
+        """Publishes on a process's set, which may be an old one."""
+        keeper = self.by_name[name].keeper
+        if not keeper.is_confirmed:
+            return
+        target = make(0, *sorted(accounts))
+        result = self.run(publish(self.store, keeper.catalog, target, BACKOFF))
+        self.note_published()
+        if isinstance(result, Catalog):
+            assert self.published[result.revision] == result
+        else:
+            assert result.code in (
+                ResultCode.PUBLISH_CONFLICT,
+                ResultCode.STORE_UNAVAILABLE,
+                ResultCode.OUTCOME_UNKNOWN,
+            )
+
+    @rule(first=PROCESSES, second=PROCESSES)
+    def operators_race(self, first, second):
+        """Two operators publish at once; at most one can win a revision."""
+        keepers = [self.by_name[name].keeper for name in (first, second)]
+        if not all(keeper.is_confirmed for keeper in keepers):
+            return
+        targets = (make(0, "a", "x"), make(0, "b", "y"))
+
+        async def race():
+            await asyncio.gather(
+                *(
+                    publish(self.store, keeper.catalog, target, BACKOFF)
+                    for keeper, target in zip(keepers, targets, strict=True)
+                )
+            )
+
+        self.run(race())
+        self.note_published()
+
+    @rule(name=PROCESSES)
+    def read_store(self, name):
+        keeper = self.by_name[name].keeper
+        head = self.run(read_head(self.store, BACKOFF))
+        if isinstance(head, Failure):
+            return
+        keeper.withdraw(head.withdrawn)
+        if head.revision < keeper.catalog.revision:
+            raise AssertionError("The store went back.")
+        catalog = self.run(
+            read_catalog(self.store, head, keeper.catalog, BACKOFF)
+        )
+        if not isinstance(catalog, Failure):
+            keeper.take_from_store(catalog)
+
+    @precondition(lambda self: self.links)
+    @rule(data=st.data(), whole=st.booleans())
+    def ask(self, data, whole):
+        """One process asks another and takes its answer."""
+        pairs = sorted(map(sorted, self.links))
+        pair = data.draw(st.sampled_from(pairs).flatmap(st.permutations))
+        asker, asked = (self.by_name[name].keeper for name in pair)
+        asker.note_named(asked.highest_named)
+        asker.withdraw(asked.withdrawn)
+        revision = 0 if whole else asker.catalog.revision
+        for offer in asked.changes_after(revision):
+            asker.take_offer(pair[1], offer)
+
+    @rule(name=PROCESSES, number=st.integers(1, 9))
+    def withdraw(self, name, number):
+        keeper = self.by_name[name].keeper
+        keeper.withdraw([key_hash(number)])
+        self.run(save_withdrawals(self.store, keeper.withdrawn, BACKOFF))
+
+    def note_published(self):
+        """Reads the head's history past the real code."""
+        heads = [
+            orjson.loads(stored.value)
+            for stored in self.store.history
+            if stored.key == HEAD_KEY
+        ]
+        contents = {
+            stored.key: orjson.loads(stored.value)
+            for stored in self.store.history
+            if stored.key.startswith("config/delta/")
+        }
+        for before, after in itertools.pairwise([{"revision": 0}, *heads]):
+            assert after["revision"] - before["revision"] in (0, 1)
+            assert set(before.get("withdrawn", ())) <= set(after["withdrawn"])
+            revision = after["revision"]
+            if revision not in self.published:
+                delta = contents[f"config/delta/{revision}/{after['digest']}"]
+                self.published[revision] = self.replay(delta)
+
+    def replay(self, delta):
+        held = dict(self.published[delta["base"]].accounts_by_name)
+        for name in delta["deleted"].get("client_account", ()):
+            del held[name]
+        held |= delta["changed"].get("client_account", {})
+        return make(delta["revision"], *sorted(held))
+
+    @invariant()
+    def no_process_goes_back(self):
+        for process in self.by_name.values():
+            revisions = [catalog.revision for catalog in process.told]
+            assert revisions == sorted(revisions)
+
+
+TestDeployment = Deployment.TestCase
+TestDeployment.settings = settings(
+    max_examples=150, stateful_step_count=40, derandomize=True, deadline=None
+)
--- a/libs/link/src/shallotstand/link/node.py
+++ b/libs/link/src/shallotstand/link/node.py
@@ -47,12 +47,14 @@
       link: The connection.
       hello: What the peer said of itself.
       revision: Highest configuration revision that the peer has named.
+      on_ping: Called with this connection after each Ping of the peer.
     """
 
     def __init__(self, link: Link, hello: Hello, clock: Clock):
         self.link = link
         self.hello = hello
         self.revision = hello.revision
+        self.on_ping: Callable[[PeerConnection], None] = lambda _: None
         self._clock = clock
         self._heard_at = clock.monotonic()
         self._clock_offset_ms: int | None = None
@@ -91,6 +93,7 @@
             self._heard_at = self._clock.monotonic()
             if isinstance(message, Ping):
                 self._take_ping(message)
+                self.on_ping(self)
             else:
                 yield message
 
