--- a/apps/standins/src/shallotstand/standins/object_store.py
+++ b/apps/standins/src/shallotstand/standins/object_store.py
@@ -1,5 +1,7 @@
 """A small stand-in for the platform's object API."""
 
+from __future__ import annotations
+
 import asyncio
 import collections
 import random
--- /dev/null
+++ b/libs/control/tests/frozen_holder.py
@@ -0,0 +1,69 @@
+"""A holder in a process of its own, to be stopped between check and send.
+
+Arguments: port and key of the parent's manager, then `alarm` or `none`.
+"""
+
+import asyncio
+import sys
+import time
+from multiprocessing.managers import BaseManager
+
+from shallotstand.control import sessions
+from shallotstand.control.orders import OrderDesk
+from shallotstand.control.scopes import ScopeKeeper
+from shallotstand.control.watchdog import AlarmWatchdog, NoWatchdog
+from shallotstand.core.clock import SystemClock
+
+sessions.OWN_EXPIRY_S = 1.5
+STOP_WINDOW_S = 0.3
+
+
+class SharedStore:
+    """The parent's store; calls block, as nothing else runs here."""
+
+    def __init__(self, proxy):
+        self._proxy = proxy
+
+    async def get(self, key):
+        return self._proxy.get(key)
+
+    async def put(self, key, value, expected_version):
+        return self._proxy.put(key, value, expected_version)
+
+
+class Receiver:
+    """Announces that the check has passed, waits, then sends."""
+
+    def __init__(self, recorder):
+        self._recorder = recorder
+
+    async def send(self, ticket):
+        print("checked", flush=True)
+        time.sleep(STOP_WINDOW_S)  # noqa: ASYNC251 - the process stands still
+        self._recorder.record(ticket.epoch)
+
+    async def read_back(self, scope):
+        return None
+
+
+async def run(port: int, key: str, watchdog) -> None:
+    BaseManager.register("store")
+    BaseManager.register("recorder")
+    manager = BaseManager(("127.0.0.1", port), key.encode())
+    manager.connect()
+    store = SharedStore(manager.store())
+    clock = SystemClock()
+    session = sessions.OwnSession(
+        sessions.SessionId("first", "run-1"), store, clock
+    )
+    table = sessions.SessionTable(clock)
+    keeper = ScopeKeeper(session, table, store, clock)
+    assert await session.renew() is None
+    held = await keeper.take("zone/peak-a")
+    desk = OrderDesk(session, store, watchdog, clock)
+    await desk.give(held, Receiver(manager.recorder()), 1.0)
+
+
+if __name__ == "__main__":
+    chosen = AlarmWatchdog() if sys.argv[3] == "alarm" else NoWatchdog()
+    asyncio.run(run(int(sys.argv[1]), sys.argv[2], chosen))
--- /dev/null
+++ b/libs/control/tests/test_orders.py
@@ -0,0 +1,346 @@
+"""Guards against interleaved orders of two holders, whatever fails."""
+
+import asyncio
+import collections
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+from shallotstand.control.orders import OrderDesk
+from shallotstand.control.scopes import ScopeKeeper
+from shallotstand.control.sessions import (
+    OwnSession,
+    SessionId,
+    SessionTable,
+)
+from shallotstand.control.watchdog import NoWatchdog
+from shallotstand.core.clock import ManualClock
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.standins.object_store import StandinObjectStore, StoreFaults
+
+SCOPE = "zone/peak-a"
+NAMES = ("one", "two")
+# What the machine brought about, to show that it is not idle.
+SEEN = collections.Counter()
+
+
+class World:
+    """Clock, store and every order in the order of its arrival."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.store = StandinObjectStore()
+        self.sent = []  # (epoch, arrival, latest time of effect)
+        self.closed = {}  # time of the result by index in sent
+
+    def record(self, ticket) -> int:
+        now = self.clock.monotonic()
+        self.sent.append((ticket.epoch, now, now + ticket.timeout_s))
+        return len(self.sent) - 1
+
+    def check(self) -> None:
+        for index, (epoch, _, until) in enumerate(self.sent):
+            end = min(until, self.closed.get(index, until))
+            for later_epoch, arrival, _ in self.sent[index + 1 :]:
+                assert later_epoch >= epoch
+                assert later_epoch == epoch or arrival >= end
+
+
+class Process:
+    """A controller whose steps wait for permission; it is also its store."""
+
+    def __init__(self, world: World, name: str, run: str):
+        self.world = world
+        self.armed_until = None
+        self.killed = False
+        self.tasks = []
+        self.turns = asyncio.Semaphore(0)
+        self.free_running = False
+        clock = world.clock
+        self.session = OwnSession(SessionId(name, run), self, clock)
+        self.table = SessionTable(clock)
+        self.keeper = ScopeKeeper(self.session, self.table, self, clock)
+        self.desk = OrderDesk(self.session, self, self, clock, self.sleep)
+
+    def arm(self, seconds):
+        self.armed_until = self.world.clock.monotonic() + seconds
+
+    def disarm(self):
+        self.armed_until = None
+
+    async def turn(self):
+        if not self.free_running:
+            await self.turns.acquire()
+
+    async def sleep(self, seconds):
+        until = self.world.clock.monotonic() + seconds
+        while self.world.clock.monotonic() < until:
+            await self.turn()
+
+    async def get(self, key):
+        await self.turn()
+        return await self.world.store.get(key)
+
+    async def put(self, key, value, expected_version):
+        await self.turn()
+        return await self.world.store.put(key, value, expected_version)
+
+    async def send(self, ticket):
+        await self.turn()
+        index = self.world.record(ticket)
+        await self.turn()
+        self.world.closed[index] = self.world.clock.monotonic()
+
+    async def read_back(self, scope):
+        return None
+
+    def end_if_alarmed(self):
+        """Does what the kernel's timer does to a process that resumes."""
+        alarm = self.armed_until
+        if alarm is not None and self.world.clock.monotonic() >= alarm:
+            self.killed = True
+            for task in self.tasks:
+                task.cancel()
+
+
+class OrdersMachine(RuleBasedStateMachine):
+    """Interleaves two controllers step by step and lets time jump."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.world = World()
+        self.restarts = 0
+        self.processes = [Process(self.world, name, "run-0") for name in NAMES]
+
+    def run(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    async def settle(self):
+        for _ in range(12):
+            await asyncio.sleep(0)
+
+    def act(self, index, make):
+        """Runs a whole act at once, as far as the process still lives."""
+        process = self.processes[index]
+        process.end_if_alarmed()
+        if process.killed:
+            return
+        process.free_running = True
+        self.run(make(process))
+        process.free_running = False
+        if any(not task.done() for task in process.tasks):
+            process.desk.on_renewed()
+
+    @rule(index=st.integers(0, 1))
+    def renew(self, index):
+        self.act(index, lambda process: process.session.renew())
+
+    @rule(index=st.integers(0, 1))
+    def take(self, index):
+        async def look_and_take(process):
+            seen = await self.world.store.list("session/")
+            for stored in [seen] if isinstance(seen, Failure) else seen:
+                process.table.observe(stored)
+            await process.session.renew()
+            await process.keeper.take(SCOPE)
+
+        self.act(index, look_and_take)
+
+    @rule(index=st.integers(0, 1))
+    def freeze_other_and_take(self, index):
+        self.take(index)
+        self.world.clock.advance(12.5)
+        self.take(index)
+
+    @rule(index=st.integers(0, 1))
+    def restart_if_killed(self, index):
+        if self.processes[index].killed:
+            self.restarts += 1
+            self.processes[index] = Process(
+                self.world, NAMES[index], f"run-{self.restarts}"
+            )
+
+    @rule(index=st.integers(0, 1), steps=st.integers(0, 9))
+    def give(self, index, steps):
+        process = self.processes[index]
+        if SCOPE not in process.keeper.held_by_name:
+            self.take(index)
+        held = process.keeper.held_by_name.get(SCOPE)
+        process.end_if_alarmed()
+        if process.killed or held is None:
+            return
+        task = self.loop.create_task(process.desk.give(held, process, 4.0))
+        process.tasks.append(task)
+        self.run(self.settle())
+        self.step(index, steps)
+
+    @rule(index=st.integers(0, 1), steps=st.integers(1, 9))
+    def step(self, index, steps):
+        process = self.processes[index]
+        for _ in range(steps):
+            process.end_if_alarmed()
+            if not process.killed and process.turns.locked():
+                process.turns.release()
+            self.run(self.settle())
+
+    @rule(seconds=st.sampled_from((0.2, 0.2, 1.0, 2.0, 4.0, 7.0)))
+    def jump(self, seconds):
+        self.world.clock.advance(seconds)
+
+    @rule(
+        faults=st.sampled_from(
+            (
+                *[StoreFaults()] * 3,
+                StoreFaults(down=True),
+                StoreFaults(lost_answers=0.5),
+            )
+        )
+    )
+    def set_faults(self, faults):
+        self.world.store.faults = faults
+
+    @invariant()
+    def orders_do_not_interleave(self):
+        self.world.check()
+
+    def teardown(self):
+        SEEN["orders"] += len(self.world.sent)
+        SEEN["handovers"] += len({epoch for epoch, *_ in self.world.sent}) > 1
+        SEEN["killed"] += self.restarts
+        for process in self.processes:
+            for task in process.tasks:
+                task.cancel()
+        self.run(self.settle())
+        self.loop.close()
+
+
+def test_orders_of_two_holders_never_interleave():
+    run_state_machine_as_test(
+        OrdersMachine,
+        settings=settings(
+            derandomize=True,
+            deadline=None,
+            max_examples=150,
+            stateful_step_count=60,
+        ),
+    )
+    print(dict(SEEN))
+    assert min(SEEN["orders"], SEEN["handovers"], SEEN["killed"]) > 10
+
+
+class Recorder:
+    """Takes orders and says of each what a test tells it to."""
+
+    def __init__(self, answer=None):
+        self.answer = answer
+        self.tickets = []
+
+    async def send(self, ticket):
+        self.tickets.append(ticket)
+        return self.answer
+
+    async def read_back(self, scope):
+        return None
+
+
+class Controller:
+    """One controller with its own table, on a shared clock and store."""
+
+    def __init__(self, name, store, clock):
+        self.slept = []
+        self.session = OwnSession(SessionId(name, name + "-1"), store, clock)
+        self.table = SessionTable(clock)
+        self.keeper = ScopeKeeper(self.session, self.table, store, clock)
+        self.desk = OrderDesk(
+            self.session, store, NoWatchdog(), clock, self.sleep
+        )
+
+    async def sleep(self, seconds):
+        self.slept.append(seconds)
+
+
+def test_lost_answer_to_the_intent_sends_the_order_once():
+    async def check():
+        store, clock = StandinObjectStore(), ManualClock()
+        one, recorder = Controller("one", store, clock), Recorder()
+        await one.session.renew()
+        held = await one.keeper.take(SCOPE)
+        store.faults = StoreFaults(lost_answers=1.0)
+        assert await one.desk.give(held, recorder, 5.0) is None
+        assert len(recorder.tickets) == 1
+
+    asyncio.run(check())
+
+
+def test_late_intent_does_not_reopen_a_later_order():
+    async def check():
+        store, clock = StandinObjectStore(), ManualClock()
+        one, recorder = Controller("one", store, clock), Recorder()
+        await one.session.renew()
+        held = await one.keeper.take(SCOPE)
+        store.faults = StoreFaults(late_writes=3)
+        refused = await one.desk.give(held, recorder, 5.0)
+        assert refused.code == ResultCode.STORE_UNAVAILABLE
+        await store.deliver_late()
+        # The late intent may stand for a sent order: it is waited out.
+        assert await one.desk.give(held, recorder, 5.0) is None
+        assert one.slept == [5.0]
+        assert len(recorder.tickets) == 1
+
+    asyncio.run(check())
+
+
+def test_store_down_longer_than_the_lease_stops_orders():
+    async def check():
+        store, clock = StandinObjectStore(), ManualClock()
+        one, recorder = Controller("one", store, clock), Recorder()
+        await one.session.renew()
+        held = await one.keeper.take(SCOPE)
+        store.faults = StoreFaults(down=True)
+        clock.advance(7.5)
+        assert isinstance(await one.session.renew(), Failure)
+        assert isinstance(await one.desk.give(held, recorder, 5.0), Failure)
+        store.faults = StoreFaults()
+        lapsed = await one.desk.give(held, recorder, 5.0)
+        assert lapsed.code == ResultCode.LEASE_LAPSED
+        assert await one.session.renew() is None
+        assert await one.desk.give(held, recorder, 5.0) is None
+        assert len(recorder.tickets) == 1
+
+    asyncio.run(check())
+
+
+def test_successor_waits_out_an_open_intent():
+    async def check():
+        store, clock = StandinObjectStore(), ManualClock()
+        one = Controller("one", store, clock)
+        two = Controller("two", store, clock)
+        unknown = Recorder(Failure(ResultCode.OUTCOME_UNKNOWN, "No answer."))
+        await one.session.renew()
+        held = await one.keeper.take(SCOPE)
+        await one.desk.give(held, unknown, 5.0)
+        for stored in await store.list("session/"):
+            two.table.observe(stored)
+        await two.session.renew()
+        refused = await two.keeper.take(SCOPE)
+        assert refused.code == ResultCode.LEASE_HELD
+        clock.advance(12.0)
+        await two.session.renew()
+        later = await two.keeper.take(SCOPE)
+        assert later.epoch == held.epoch + 1
+        recorder = Recorder()
+        assert await two.desk.give(later, recorder, 5.0) is None
+        assert two.slept == [5.0]
+        await one.session.renew()
+        stale = await one.desk.give(held, recorder, 5.0)
+        assert stale.code == ResultCode.STALE_EPOCH
+        assert [ticket.epoch for ticket in recorder.tickets] == [2]
+
+    asyncio.run(check())
