Add the order gate and the leaving state to the sidecar

Cause: a sidecar took no orders, and a stopping one told no entry. On SIGTERM the Load state leaving goes to all entries. Conclusion: an engine's end while leaving still counts as a crash.

--- a/apps/sidecar/src/shallotstand/sidecar/endpoint.py
+++ b/apps/sidecar/src/shallotstand/sidecar/endpoint.py
@@ -37,6 +37,7 @@
         self.report = EndpointLoad(settings.name, state="lost")
         self._running_by_key: dict[tuple[str, int], Request] = {}
         self._suspect_running = False
+        self._is_leaving = False
 
     def info(self, zone: str) -> EndpointInfo:
         """Returns what the Hello message tells of the endpoint."""
@@ -81,11 +82,11 @@
           True if this shows that the engine ended or was restarted.
         """
         if isinstance(report, Failure):
-            ended = self.report.state == "live"
+            ended = self.report.state != "lost"
             self.report = EndpointLoad(self.name, state="lost")
             return ended
         restarted = self.incarnation not in ("", report.incarnation)
-        ended = restarted and self.report.state == "live"
+        ended = restarted and self.report.state != "lost"
         self.incarnation = report.incarnation
         self.report = EndpointLoad(
             name=self.name,
@@ -94,12 +95,20 @@
             slots=report.slots,
             free_blocks=report.free_blocks,
             version=report.version,
-            state="live",
+            state="leaving" if self._is_leaving else "live",
             added=report.added,
             evicted=report.evicted,
         )
         return ended
 
+    def leave(self) -> None:
+        """Reports the endpoint as leaving from now on, unless it is lost."""
+        self._is_leaving = True
+        if self.report.state == "live":
+            self.report = self.report._replace(
+                state="leaving", added=(), evicted=()
+            )
+
     async def watch(self, on_report) -> None:
         """Asks the engine for its load until cancelled.
 
--- a/apps/sidecar/src/shallotstand/sidecar/main.py
+++ b/apps/sidecar/src/shallotstand/sidecar/main.py
@@ -14,6 +14,7 @@
 from shallotstand.link.node import Identity, Node
 from shallotstand.settings.loader import load_or_exit
 from shallotstand.sidecar.endpoint import LocalEndpoint
+from shallotstand.sidecar.order_gate import OrderGate
 from shallotstand.sidecar.peers import PeerService
 from shallotstand.sidecar.runner import Runner
 from shallotstand.sidecar.settings import TABLE, SidecarSettings
@@ -30,7 +31,13 @@
     }
     usage_log = UsageLog(incarnation, settings.window_s)
     runner = Runner(endpoints_by_name, usage_log, clock)
-    service = PeerService(settings.zone, endpoints_by_name, runner, usage_log)
+    service = PeerService(
+        settings.zone,
+        endpoints_by_name,
+        runner,
+        usage_log,
+        OrderGate(endpoints_by_name, clock),
+    )
     identity = Identity(
         settings.process_id, "sidecar", settings.zone, incarnation
     )
@@ -49,7 +56,7 @@
         loop.add_signal_handler(number, stopping.set)
     logs.event(logging.INFO, "Started", endpoints=list(endpoints_by_name))
     await stopping.wait()
-    runner.accepting = False
+    service.leave()
     await service.activity.wait_idle(settings.shutdown_deadline_s)
     for task in tasks:
         task.cancel()
--- a/apps/sidecar/src/shallotstand/sidecar/peers.py
+++ b/apps/sidecar/src/shallotstand/sidecar/peers.py
@@ -8,6 +8,7 @@
     Crash,
     Hello,
     Load,
+    Order,
     Request,
     Submit,
     Usage,
@@ -15,6 +16,7 @@
 )
 from shallotstand.link.node import Node, PeerConnection
 from shallotstand.sidecar.endpoint import LocalEndpoint
+from shallotstand.sidecar.order_gate import OrderGate
 from shallotstand.sidecar.outbox import Outbox
 from shallotstand.sidecar.runner import Runner
 from shallotstand.sidecar.usage_log import UsageLog
@@ -79,8 +81,11 @@
         endpoints_by_name: dict[str, LocalEndpoint],
         runner: Runner,
         usage_log: UsageLog,
+        order_gate: OrderGate | None = None,
     ):
         self.activity = Activity()
+        self._order_gate = order_gate
+        self._orders: set[asyncio.Task] = set()
         self._zone = zone
         self._endpoints_by_name = endpoints_by_name
         self._runner = runner
@@ -105,12 +110,36 @@
                         session.submit(requests)
                     case Cancel(streams):
                         session.cancel(streams)
+                    case Order():
+                        self._take_order(message, peer)
                     case UsageAck(self._usage_log.source, number):
                         self._usage_log.acknowledge(number)
                 self.node.revision = max(self.node.revision, peer.revision)
         finally:
             await session.close()
 
+    def _take_order(self, order: Order, peer: PeerConnection) -> None:
+        """Starts an order, which goes on if the connection ends.
+
+        The engine may have begun it, and only its end shows the outcome.
+        """
+        if self._order_gate is None or peer.hello.role != "controller":
+            return
+        task = asyncio.create_task(self._carry_out(order, peer))
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    async def _carry_out(self, order: Order, peer: PeerConnection) -> None:
+        peer.send(await self._order_gate.carry_out(order))
+
+    def leave(self) -> None:
+        """Refuses new requests and tells all entries at once."""
+        self._runner.accepting = False
+        for endpoint in self._endpoints_by_name.values():
+            endpoint.leave()
+        reports = [e.report for e in self._endpoints_by_name.values()]
+        self.node.broadcast(Load(tuple(reports)), "entry")
+
     def on_report(self, endpoint: LocalEndpoint, ended: bool) -> None:
         """Tells the entries of an endpoint's state."""
         self.node.broadcast(Load((endpoint.report,)), "entry")
