Add the controller program and number usage by shard

Cause: nothing held scopes, collected usage or sent reports, and one sequence of records over all shards hid where one is missing. The sidecar numbers records for each shard, sends them to the controller that answered last, and hands them over at shutdown. Orders set TCP_USER_TIMEOUT. Result: usage reaches report and acknowledgement over real links, an order reaches the engine with its epoch, a successor takes epoch 2.

--- /dev/null
+++ b/apps/controller/src/shallotstand/controller/receivers.py
@@ -0,0 +1,116 @@
+"""Who takes a controller's orders: sidecars and the zone-order interface."""
+
+import asyncio
+
+from shallotstand.control.orders import OrderTicket
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.link.messages import Order, OrderResult
+from shallotstand.link.node import Node, PeerConnection
+from shallotstand.platform.protocols import ZoneOrder, ZoneOrders
+
+
+class OrderResults:
+    """Orders to sidecars whose results have not come."""
+
+    def __init__(self) -> None:
+        self._futures_by_id: dict[str, asyncio.Future[Failure | None]] = {}
+
+    def take(self, result: OrderResult) -> None:
+        """Ends the wait for a result; a late one changes nothing."""
+        future = self._futures_by_id.get(result.order_id)
+        if future is not None and not future.done():
+            is_ok = result.code == ResultCode.OK
+            future.set_result(
+                None
+                if is_ok
+                else Failure(ResultCode(result.code), result.reason)
+            )
+
+    async def ask(self, peer: PeerConnection, order: Order) -> Failure | None:
+        """Sends an order and waits for its result.
+
+        Errors:
+          LINK_LOST: The connection is closed; nothing was sent.
+          Others: What the sidecar answered.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._futures_by_id[order.order_id] = future
+        try:
+            if not peer.send(order):
+                return Failure(ResultCode.LINK_LOST, "The sidecar has gone.")
+            return await future
+        finally:
+            del self._futures_by_id[order.order_id]
+
+
+class EngineOrders:
+    """Takes one order for an endpoint and sends it by its sidecar."""
+
+    def __init__(
+        self,
+        node: Node,
+        results: OrderResults,
+        sidecar: str,
+        endpoint: str,
+        action: str,
+        argument: str,
+    ):
+        self._node = node
+        self._results = results
+        self._sidecar = sidecar
+        self._endpoint = endpoint
+        self._action = action
+        self._argument = argument
+
+    async def send(self, ticket: OrderTicket) -> Failure | None:
+        """Sends the order with its expiry in the sidecar's clock."""
+        peer = self._node.peers_by_id.get(self._sidecar)
+        now_ms = peer.peer_now_ms if peer else None
+        if now_ms is None:
+            return Failure(ResultCode.ORDER_FAILED, "The sidecar is not here.")
+        # Without this the kernel may deliver the order after the lease.
+        peer.link.limit_unacknowledged(ticket.timeout_s)
+        order = Order(
+            order_id=ticket.order_id,
+            scope=ticket.scope,
+            epoch=ticket.epoch,
+            endpoint=self._endpoint,
+            action=self._action,
+            argument=self._argument,
+            expires_ms=now_ms + int(ticket.timeout_s * 1000),
+        )
+        return await self._results.ask(peer, order)
+
+    async def read_back(self, scope: str) -> Failure | None:
+        """Does nothing: the Load reports tell what is in force."""
+        del scope
+
+
+class ZoneOrderReceiver:
+    """Takes one order for the number of endpoints of a service in a zone."""
+
+    def __init__(self, orders: ZoneOrders, zone: str, service: str, count: int):
+        self._orders = orders
+        self._zone = zone
+        self._service = service
+        self._count = count
+
+    async def send(self, ticket: OrderTicket) -> Failure | None:
+        """Sends the order."""
+        return await self._orders.order(
+            ZoneOrder(
+                self._zone,
+                self._service,
+                self._count,
+                ticket.epoch,
+                ticket.order_id,
+                ticket.timeout_s,
+            )
+        )
+
+    async def read_back(self, scope: str) -> Failure | None:
+        """Reads what is ordered."""
+        del scope
+        state = await self._orders.read(self._zone)
+        return state if isinstance(state, Failure) else None
--- /dev/null
+++ b/apps/controller/src/shallotstand/controller/settings.py
@@ -0,0 +1,70 @@
+"""Settings of the controller."""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple
+
+from shallotstand.settings.options import (
+    Address,
+    Choice,
+    Host,
+    Integer,
+    ListOf,
+    Name,
+    Table,
+    Text,
+)
+
+_URL_PATTERN = r"https?://[0-9.:\[\]a-f]+"
+
+TABLE = Table(
+    {
+        "process_id": Name("Name of the process, unique in the deployment."),
+        "zone": Name("Availability zone of the instance."),
+        "log_level": Choice(
+            "Least severe level that is logged.",
+            ("debug", "info", "warning", "error"),
+            "info",
+        ),
+        "peer_address": Address("Address for sidecars, entries, controllers."),
+        "peers": ListOf(
+            Address("Address of an entry or controller."),
+            "Entries and controllers to connect to at first.",
+            (),
+        ),
+        "store_url": Text("Address of the object API.", pattern=_URL_PATTERN),
+        "usage_url": Text(
+            "Address that takes usage reports.", pattern=_URL_PATTERN
+        ),
+        "zones": ListOf(
+            Name("Availability zone."), "Zones in which endpoints run.", ()
+        ),
+        "usage_shards": Integer(
+            "Number of usage shards; the same for every process.",
+            12,
+            minimum=1,
+        ),
+        "window_s": Integer(
+            "Length of a usage window.", 300, minimum=1, unit="seconds"
+        ),
+    }
+)
+
+
+class ControllerSettings(NamedTuple):
+    """Settings of one controller; see TABLE for the meaning of each."""
+
+    process_id: str
+    zone: str
+    log_level: str
+    peer_address: Host
+    peers: tuple[Host, ...]
+    store_url: str
+    usage_url: str
+    zones: tuple[str, ...]
+    usage_shards: int
+    window_s: int
+
+    @classmethod
+    def from_config(cls, config: Mapping[str, Any]) -> "ControllerSettings":
+        """Makes the settings from a table that passed its check."""
+        return cls(**config)
--- /dev/null
+++ b/apps/controller/tests/test_controller.py
@@ -0,0 +1,220 @@
+"""Guards against faults between a controller, its peers and a successor."""
+
+import asyncio
+import contextlib
+import socket
+
+import orjson
+import pytest
+from shallotstand.control import usage_shards
+from shallotstand.control.orders import OrderTicket
+from shallotstand.control.watchdog import NoWatchdog
+from shallotstand.controller import controller, usage_duty
+from shallotstand.controller.controller import Controller
+from shallotstand.controller.receivers import EngineOrders, ZoneOrderReceiver
+from shallotstand.controller.settings import ControllerSettings
+from shallotstand.core.clock import SystemClock
+from shallotstand.core.codes import ResultCode
+from shallotstand.link.node import Identity, Node
+from shallotstand.objects.types import Catalog, ClientAccount
+from shallotstand.settings.options import Host
+from shallotstand.sidecar.endpoint import LocalEndpoint
+from shallotstand.sidecar.order_gate import CLOSED_AFTER_START_S, OrderGate
+from shallotstand.sidecar.peers import PeerService
+from shallotstand.sidecar.runner import Runner
+from shallotstand.sidecar.settings import EndpointSettings
+from shallotstand.sidecar.usage_log import UsageLog
+from shallotstand.standins.object_store import StandinObjectStore
+
+WINDOW_S = 1
+
+
+class ShiftedClock(SystemClock):
+    """The machine's clock, moved; other hosts' clocks differ as well."""
+
+    shift_s = 5000.0
+
+    def monotonic(self) -> float:
+        return super().monotonic() + self.shift_s
+
+
+class RecordingEngine:
+    def __init__(self):
+        self.orders = []
+
+    async def order(self, order):
+        self.orders.append(order)
+
+
+class RecordingSink:
+    def __init__(self):
+        self.reports = []
+        self.arrived = asyncio.Event()
+
+    async def report(self, account, window, body):
+        self.reports.append(orjson.loads(body))
+        if self.reports[-1]["completion_tokens"]:
+            self.arrived.set()
+
+
+class Sidecar:
+    """The sidecar's parts beside a recording engine."""
+
+    def __init__(self, ports):
+        clock = ShiftedClock()
+        self.engine = RecordingEngine()
+        settings = EndpointSettings("e1", "drafts", "model", "")
+        endpoints = {"e1": LocalEndpoint(settings, self.engine)}
+        self.log = UsageLog("run-1", WINDOW_S, 2)
+        runner = Runner(endpoints, self.log, clock)
+        gate = OrderGate(endpoints, clock)
+        clock.shift_s += CLOSED_AFTER_START_S
+        self.service = PeerService("peak-a", endpoints, runner, self.log, gate)
+        identity = Identity("s1", "sidecar", "peak-a", "run-1")
+        self.node = Node(identity, self.service.serve, clock)
+        self.service.node = self.node
+        for port in ports:
+            self.node.dial("127.0.0.1", port)
+
+
+def make_controller(name, store, sink) -> tuple[Controller, int]:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    settings = ControllerSettings(
+        name,
+        "peak-a",
+        "info",
+        Host("127.0.0.1", port),
+        (),
+        "",
+        "",
+        ("peak-a",),
+        2,
+        WINDOW_S,
+    )
+    made = Controller(
+        settings, name + "-1", store, sink, NoWatchdog(), SystemClock()
+    )
+    accounts = {
+        name: ClientAccount(name, 1.0, 0, 0, False) for name in ("club", "idle")
+    }
+    made.catalog = Catalog.empty()._replace(accounts_by_name=accounts)
+    return made, port
+
+
+@contextlib.asynccontextmanager
+async def running(made: Controller):
+    stopping = asyncio.Event()
+    task = asyncio.create_task(made.run(stopping))
+    try:
+        async with asyncio.timeout(20):
+            yield stopping
+    finally:
+        stopping.set()
+        await task
+
+
+async def until(ready) -> None:
+    while not ready():
+        await asyncio.sleep(0.02)
+
+
+@pytest.fixture(autouse=True)
+def short_times(monkeypatch):
+    monkeypatch.setattr(usage_duty, "CHECKPOINT_INTERVAL_S", 0.1)
+    monkeypatch.setattr(controller, "SETTLE_INTERVAL_S", 0.05)
+    monkeypatch.setattr(usage_shards, "GRACE_S", 1)
+
+
+def test_usage_reaches_the_report_and_is_acknowledged():
+    async def check():
+        sink = RecordingSink()
+        made, port = make_controller("c1", StandinObjectStore(), sink)
+        async with running(made):
+            sidecar = Sidecar([port])
+            await until(lambda: len(made.keeper.held_by_name) == 3)
+            wall = SystemClock().wall()
+            sidecar.log.add("club", "drafts", wall, 3, 7, "r1")
+            await until(lambda: sidecar.node.peers_by_id)
+            assert await sidecar.service.hand_over_usage(10)
+            await sink.arrived.wait()
+            await sidecar.node.close()
+        tokens = [r["completion_tokens"] for r in sink.reports if r["requests"]]
+        assert tokens == [7]
+        assert {report["account"] for report in sink.reports} == {
+            "club",
+            "idle",
+        }
+
+    asyncio.run(check())
+
+
+def test_order_reaches_the_engine_with_epoch_and_time_left():
+    async def check():
+        store = StandinObjectStore()
+        made, port = make_controller("c1", store, RecordingSink())
+        async with running(made):
+            sidecar = Sidecar([port])
+            await until(lambda: "zone/peak-a" in made.keeper.held_by_name)
+            await until(
+                lambda: (
+                    "s1" in made.node.peers_by_id
+                    and made.node.peers_by_id["s1"].peer_now_ms
+                )
+            )
+            held = made.keeper.held_by_name["zone/peak-a"]
+            receiver = EngineOrders(
+                made.node, made.results, "s1", "e1", "switch", "v2"
+            )
+            assert await made.desk.give(held, receiver, 3.0) is None
+            order = sidecar.engine.orders[0]
+            assert (order.epoch, order.argument) == (held.epoch, "v2")
+            assert 2.0 < order.timeout_s <= 3.0
+            await sidecar.node.close()
+
+    asyncio.run(check())
+
+
+def test_successor_takes_released_scopes_with_the_next_epoch():
+    async def check():
+        store, sink = StandinObjectStore(), RecordingSink()
+        first, _ = make_controller("c1", store, sink)
+        second, _ = make_controller("c2", store, sink)
+        async with running(first) as stopping:
+            await until(lambda: len(first.keeper.held_by_name) == 3)
+            async with running(second):
+                stopping.set()
+                await until(lambda: len(second.keeper.held_by_name) == 3)
+                held = second.keeper.held_by_name.values()
+                assert {scope.epoch for scope in held} == {2}
+
+    asyncio.run(check())
+
+
+def test_zone_order_carries_the_fencing_number():
+    class Orders:
+        async def order(self, order):
+            self.given = order
+
+        async def read(self, zone):
+            return {}
+
+    async def check():
+        orders = Orders()
+        receiver = ZoneOrderReceiver(orders, "peak-a", "drafts", 3)
+        ticket = OrderTicket("zone/peak-a", 4, "o1", 2.5)
+        assert await receiver.send(ticket) is None
+        assert orders.given == ("peak-a", "drafts", 3, 4, "o1", 2.5)
+
+    asyncio.run(check())
+
+
+def test_order_to_a_missing_sidecar_fails():
+    async def check():
+        made, _ = make_controller("c1", StandinObjectStore(), RecordingSink())
+        receiver = EngineOrders(made.node, made.results, "s9", "e1", "load", "")
+        failure = await receiver.send(OrderTicket("service/x", 1, "o1", 1.0))
+        assert failure.code == ResultCode.ORDER_FAILED
+
+    asyncio.run(check())
--- a/apps/sidecar/src/shallotstand/sidecar/main.py
+++ b/apps/sidecar/src/shallotstand/sidecar/main.py
@@ -20,6 +20,9 @@
 from shallotstand.sidecar.settings import TABLE, SidecarSettings
 from shallotstand.sidecar.usage_log import UsageLog
 
+# Three checkpoints of a collector; the entries have copies of the records.
+USAGE_HANDOVER_S = 15.0
+
 
 async def run(settings: SidecarSettings) -> None:
     """Serves until SIGTERM, then until the answers in progress have ended."""
@@ -29,7 +32,7 @@
         endpoint.name: LocalEndpoint(endpoint, HttpEngine(endpoint.url))
         for endpoint in settings.endpoints
     }
-    usage_log = UsageLog(incarnation, settings.window_s)
+    usage_log = UsageLog(incarnation, settings.window_s, settings.usage_shards)
     runner = Runner(endpoints_by_name, usage_log, clock)
     service = PeerService(
         settings.zone,
@@ -58,6 +61,9 @@
     await stopping.wait()
     service.leave()
     await service.activity.wait_idle(settings.shutdown_deadline_s)
+    stored = await service.hand_over_usage(USAGE_HANDOVER_S)
+    if not stored:
+        logs.event(logging.WARNING, "Usage not handed over")
     for task in tasks:
         task.cancel()
     await node.close()
--- a/apps/sidecar/src/shallotstand/sidecar/peers.py
+++ b/apps/sidecar/src/shallotstand/sidecar/peers.py
@@ -1,6 +1,7 @@
 """What the sidecar does for each entry and controller."""
 
 import asyncio
+import contextlib
 
 from shallotstand.core.activity import Activity
 from shallotstand.link.messages import (
@@ -22,6 +23,9 @@
 from shallotstand.sidecar.usage_log import UsageLog
 
 USAGE_INTERVAL_S = 5.0
+# About 1 MB, well below the limit of a message. After a long outage of the
+# store the rest follows once these are acknowledged.
+MAX_USAGE_RECORDS = 8192
 
 
 class PeerSession:
@@ -86,6 +90,9 @@
         self.activity = Activity()
         self._order_gate = order_gate
         self._orders: set[asyncio.Task] = set()
+        self._acknowledged = asyncio.Event()
+        # Controllers whose answer to the last Usage message has come.
+        self._collector_by_source: dict[str, str] = {}
         self._zone = zone
         self._endpoints_by_name = endpoints_by_name
         self._runner = runner
@@ -112,8 +119,12 @@
                         session.cancel(streams)
                     case Order():
                         self._take_order(message, peer)
-                    case UsageAck(self._usage_log.source, number):
-                        self._usage_log.acknowledge(number)
+                    case UsageAck(source, number):
+                        self._collector_by_source[source] = (
+                            peer.hello.process_id
+                        )
+                        self._usage_log.acknowledge(source, number)
+                        self._acknowledged.set()
                 self.node.revision = max(self.node.revision, peer.revision)
         finally:
             await session.close()
@@ -155,6 +166,33 @@
         """Sends records that are not stored to the controllers, forever."""
         while True:
             await asyncio.sleep(USAGE_INTERVAL_S)
-            if records := self._usage_log.pending():
-                usage = Usage(self._usage_log.source, records)
+            self.send_usage()
+
+    async def hand_over_usage(self, timeout_s: float) -> bool:
+        """Sends all records and waits until they are stored.
+
+        Returns:
+          False if some are not when the time is over; the entries have them.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while self._usage_log.pending():
+                    self._acknowledged.clear()
+                    self.send_usage()
+                    await self._acknowledged.wait()
+        return not self._usage_log.pending()
+
+    def send_usage(self) -> None:
+        """Sends what is not acknowledged.
+
+        It goes to the controller that acknowledged the source last, or to
+        all if that did not answer: all would cost every controller's link.
+        """
+        pending = self._usage_log.pending_by_source()
+        for source, records in pending.items():
+            usage = Usage(source, records[:MAX_USAGE_RECORDS])
+            collector = self._collector_by_source.pop(source, "")
+            if peer := self.node.peers_by_id.get(collector):
+                peer.send(usage)
+            else:
                 self.node.broadcast(usage, "controller")
--- a/apps/sidecar/src/shallotstand/sidecar/settings.py
+++ b/apps/sidecar/src/shallotstand/sidecar/settings.py
@@ -37,6 +37,11 @@
         "window_s": Integer(
             "Length of a usage window.", 300, minimum=1, unit="seconds"
         ),
+        "usage_shards": Integer(
+            "Number of usage shards; the same for every process.",
+            12,
+            minimum=1,
+        ),
         "peers": ListOf(
             Address("Address of an entry or controller."),
             "Entries and controllers to connect to at first.",
@@ -81,6 +86,7 @@
     metrics_port: int
     shutdown_deadline_s: float
     window_s: int
+    usage_shards: int
     peers: tuple[Host, ...]
     endpoints: tuple[EndpointSettings, ...]
 
--- a/apps/sidecar/src/shallotstand/sidecar/usage_log.py
+++ b/apps/sidecar/src/shallotstand/sidecar/usage_log.py
@@ -1,20 +1,31 @@
 """Usage records that no controller has stored yet."""
 
+import itertools
+
+from shallotstand.core.shards import shard_of, source_name
 from shallotstand.link.messages import UsageRecord
 
 
 class UsageLog:
     """Numbers usage records and keeps them until they are acknowledged.
 
-    Attributes:
-      source: Incarnation of the sidecar; numbers count within it.
+    Records are numbered apart for each usage shard, since the holder of a
+    shard gets only its own and must see where one is missing.
     """
 
-    def __init__(self, source: str, window_s: int):
-        self.source = source
+    def __init__(self, incarnation: str, window_s: int, shards: int = 1):
+        """Initializes an empty log.
+
+        Args:
+          incarnation: Incarnation of the sidecar.
+          window_s: Length of a usage window in seconds.
+          shards: Number of usage shards; the same for every process.
+        """
+        self._incarnation = incarnation
         self._window_s = window_s
-        self._next_number = 1
-        self._by_number: dict[int, UsageRecord] = {}
+        self._shards = shards
+        self._last_number_by_source: dict[str, int] = {}
+        self._by_source: dict[str, dict[int, UsageRecord]] = {}
 
     def add(
         self,
@@ -26,8 +37,11 @@
         request_id: str,
     ) -> UsageRecord:
         """Adds a record for a request that ended at the wall-clock time."""
+        shard = shard_of(account, self._shards)
+        source = source_name(self._incarnation, shard)
+        number = self._last_number_by_source.get(source, 0) + 1
         record = UsageRecord(
-            number=self._next_number,
+            number=number,
             account=account,
             service=service,
             window=int(wall) - int(wall) % self._window_s,
@@ -35,15 +49,26 @@
             completion_tokens=completion_tokens,
             request_id=request_id,
         )
-        self._by_number[record.number] = record
-        self._next_number += 1
+        self._last_number_by_source[source] = number
+        self._by_source.setdefault(source, {})[number] = record
         return record
 
-    def pending(self) -> tuple[UsageRecord, ...]:
+    def pending_by_source(self) -> dict[str, tuple[UsageRecord, ...]]:
         """Returns the records that are not acknowledged, in order."""
-        return tuple(self._by_number.values())
+        return {
+            source: tuple(by_number.values())
+            for source, by_number in self._by_source.items()
+            if by_number
+        }
+
+    def pending(self) -> tuple[UsageRecord, ...]:
+        """Returns all records that are not acknowledged."""
+        return tuple(
+            itertools.chain.from_iterable(self.pending_by_source().values())
+        )
 
-    def acknowledge(self, number: int) -> None:
-        """Forgets the records up to a number."""
-        for held in [held for held in self._by_number if held <= number]:
-            del self._by_number[held]
+    def acknowledge(self, source: str, number: int) -> None:
+        """Forgets the records of a source up to a number."""
+        by_number = self._by_source.get(source, {})
+        for held in [held for held in by_number if held <= number]:
+            del by_number[held]
--- a/libs/control/src/shallotstand/control/scopes.py
+++ b/libs/control/src/shallotstand/control/scopes.py
@@ -136,9 +136,13 @@
             return
         name = stored.key.removeprefix(PREFIX)
         record = decode_record(stored)
+        epoch = record.value.get("epoch", 0)
+        known = self._records_by_name.get(name, ABSENT)
+        if epoch < known.value.get("epoch", 0):
+            return  # the watch lags behind this process's own takeover
         self._records_by_name[name] = record
         held = self.held_by_name.get(name)
-        if held and record.value.get("epoch", 0) > held.epoch:
+        if held and epoch > held.epoch:
             del self.held_by_name[name]
 
     async def settle(self, wanted: Iterable[str]) -> None:
@@ -150,6 +154,11 @@
         for name in wanted:
             value = self._records_by_name.get(name, ABSENT).value
             action = self._policy.decide(name, value)
+            if holder_of(value) == self._session.id and (
+                name not in self.held_by_name
+            ):
+                # A takeover or release whose answer was lost.
+                action = Action.TAKE
             if action is Action.TAKE and self._session.time_left > 0:
                 await self.take(name)
             elif action is Action.RELEASE and name in self.held_by_name:
--- a/libs/link/src/shallotstand/link/link.py
+++ b/libs/link/src/shallotstand/link/link.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator
 
 from shallotstand.core.codes import ResultCode
@@ -97,6 +98,19 @@
                     return
                 yield message
 
+    def limit_unacknowledged(self, seconds: float) -> None:
+        """Ends the connection if the peer's kernel confirms nothing so long.
+
+        The kernel then stops to send again what it holds, such as an order
+        whose time is over. The limit stays until it is set anew.
+        """
+        raw = self._writer.get_extra_info("socket")
+        raw.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            max(1, int(seconds * 1000)),
+        )
+
     def _abort(self, code: ResultCode, reason: str) -> None:
         self.failure = Failure(code, reason)
         self._writer.transport.abort()
