Mark ended sessions instead of deleting them; test scopes and sessions

Cause: deleting a session object loses its write ids, and a duty that failed was never started again. Change: an ended session says so in its object; failed duties restart; a second signal ends the sidecar without delay. Result: tests for two claimants, a later run of a process, an outage of the store and moves of scopes. Conclusion: a superseded run learns of it with its second renewal; until then its lease of 7 s is shorter than the 12 s that others wait.

--- a/apps/controller/src/shallotstand/controller/duties.py
+++ b/apps/controller/src/shallotstand/controller/duties.py
@@ -40,6 +40,9 @@
     async def settle(self) -> None:
         """Starts the duties of new scopes and ends those of lost ones."""
         held_now = set(self._keeper.held_by_name.values())
+        # A duty that failed starts again with the next round.
+        failed = {h for h, task in self._tasks_by_held.items() if task.done()}
+        await self._end(failed)
         await self._end(set(self._tasks_by_held) - held_now)
         for held in held_now - set(self._tasks_by_held):
             duty = self._duties_by_kind.get(held.name.partition("/")[0])
--- a/apps/sidecar/src/shallotstand/sidecar/main.py
+++ b/apps/sidecar/src/shallotstand/sidecar/main.py
@@ -53,17 +53,21 @@
     tasks.append(asyncio.create_task(service.report_usage()))
     for address in settings.peers:
         node.dial(address.host, address.port)
-    stopping = asyncio.Event()
+    stopping, hurrying = asyncio.Event(), asyncio.Event()
+
+    def on_signal() -> None:
+        """Stops at the first signal, without delay at the second."""
+        (hurrying if stopping.is_set() else stopping).set()
+
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(number, on_signal)
     logs.event(logging.INFO, "Started", endpoints=list(endpoints_by_name))
     await stopping.wait()
     service.leave()
-    await service.activity.wait_idle(settings.shutdown_deadline_s)
-    stored = await service.hand_over_usage(USAGE_HANDOVER_S)
-    if not stored:
-        logs.event(logging.WARNING, "Usage not handed over")
+    finishing = asyncio.create_task(_finish(service, settings))
+    tasks.extend((finishing, asyncio.create_task(hurrying.wait())))
+    await asyncio.wait(tasks[-2:], return_when=asyncio.FIRST_COMPLETED)
     for task in tasks:
         task.cancel()
     await node.close()
@@ -72,6 +76,13 @@
     logs.event(logging.INFO, "Stopped")
 
 
+async def _finish(service: PeerService, settings: SidecarSettings) -> None:
+    """Waits for the answers in progress, then hands the usage over."""
+    await service.activity.wait_idle(settings.shutdown_deadline_s)
+    if not await service.hand_over_usage(USAGE_HANDOVER_S):
+        logs.event(logging.WARNING, "Usage not handed over")
+
+
 @cappa.command(name="shallotstand-sidecar")
 def start(
     settings: Annotated[
--- a/libs/control/src/shallotstand/control/sessions.py
+++ b/libs/control/src/shallotstand/control/sessions.py
@@ -66,6 +66,8 @@
         """Renews the session by one conditional update.
 
         Errors:
+          VERSION_CONFLICT: Another run of the process wrote; the next call
+            tells which is the later one.
           LEASE_LAPSED: A later run of the process took the session over.
           STORE_UNAVAILABLE: No answer in time.
         """
@@ -101,11 +103,16 @@
             await asyncio.sleep(RENEW_INTERVAL_S)
 
     async def end(self) -> None:
-        """Deletes the session, so that others need not wait for its expiry."""
+        """Marks the session as ended, so that others need not wait for it.
+
+        The object stays: deleting it would lose the write ids by which a
+        writer recognizes its own write.
+        """
         self.superseded = True
         if self._record is not None:
+            value = {**self._next(self._record), "has_ended": True}
             key = PREFIX + self.id.process
-            await self._store.delete(key, self._record.version)
+            await write_record(self._store, key, self._record, value)
 
     def _is_taken_over(self, held: Record) -> bool:
         """Notes if the object belongs to a run that started later.
@@ -147,12 +154,11 @@
         before = self._records_by_process.get(process, ABSENT)
         self._records_by_process[process] = record
         if record is ABSENT:
-            if before is not ABSENT:
-                self._ended.add(_id(process, before))
             return
-        if record.version != before.version:
+        if record.value.get("has_ended"):
+            self._ended.add(_id(process, record))
+        elif record.version != before.version:
             self._seen_at_by_id[_id(process, record)] = self._clock.monotonic()
-            self._ended.discard(_id(process, record))
 
     def is_expired(self, session: SessionId) -> bool:
         """Says whether a session has been unchanged for long enough.
--- /dev/null
+++ b/libs/control/tests/test_scopes.py
@@ -0,0 +1,141 @@
+"""Guards against two holders of a scope and against needless moves."""
+
+import asyncio
+
+from shallotstand.control.scopes import (
+    MOVE_AFTER_S,
+    RANK_DELAY_S,
+    Action,
+    ScopeKeeper,
+    ScopePolicy,
+    rank_processes,
+)
+from shallotstand.control.sessions import OwnSession, SessionId, SessionTable
+from shallotstand.core.clock import ManualClock
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.standins.object_store import StandinObjectStore, StoreFaults
+
+SCOPE = "zone/peak-a"
+
+
+class Member:
+    """A process with its session, table and keeper."""
+
+    def __init__(self, name, store, clock, run="run-1"):
+        self.store = store
+        self.session = OwnSession(SessionId(name, run), store, clock)
+        self.table = SessionTable(clock)
+        self.keeper = ScopeKeeper(self.session, self.table, store, clock)
+
+    async def look(self):
+        for stored in await self.store.list("session/"):
+            self.table.observe(stored)
+
+
+def world(*names):
+    store, clock = StandinObjectStore(), ManualClock()
+    return store, clock, *(Member(name, store, clock) for name in names)
+
+
+def test_one_of_two_claimants_wins():
+    async def check():
+        _, _, one, two = world("one", "two")
+        await asyncio.gather(one.session.renew(), two.session.renew())
+        taken = await asyncio.gather(
+            one.keeper.take(SCOPE), two.keeper.take(SCOPE)
+        )
+        assert [isinstance(held, Failure) for held in taken].count(True) == 1
+        lost = next(held for held in taken if isinstance(held, Failure))
+        assert lost.code == ResultCode.VERSION_CONFLICT
+
+    asyncio.run(check())
+
+
+def test_own_lease_counts_from_the_start_of_the_renewal():
+    async def check():
+        store, clock, one = world("one")
+
+        async def slow_put(*arguments):
+            clock.advance(5.0)
+            return await StandinObjectStore.put(store, *arguments)
+
+        store.put = slow_put
+        await one.session.renew()
+        assert one.session.time_left == 2.0
+
+    asyncio.run(check())
+
+
+def test_later_run_of_a_process_ends_the_earlier_one():
+    async def check():
+        store, clock, one = world("one")
+        await one.session.renew()
+        again = Member("one", store, clock, "run-2")
+        # A failed first renewal must not look like a later run's.
+        store.faults = StoreFaults(down=True)
+        assert await again.session.renew() is not None
+        store.faults = StoreFaults()
+        assert await again.session.renew() is None
+        conflict = await one.session.renew()
+        assert conflict.code == ResultCode.VERSION_CONFLICT
+        assert (await one.session.renew()).code == ResultCode.LEASE_LAPSED
+        assert one.session.time_left == 0.0
+
+    asyncio.run(check())
+
+
+def test_sessions_do_not_expire_while_the_store_is_out_of_sight():
+    async def check():
+        store, clock, one, two = world("one", "two")
+        await one.session.renew()
+        await two.look()
+        clock.advance(11.0)
+        two.table.observe(Failure(ResultCode.STORE_UNAVAILABLE, "Down."))
+        clock.advance(11.0)
+        await two.look()
+        assert not two.table.is_expired(one.session.id)
+        clock.advance(12.0)
+        assert two.table.is_expired(one.session.id)
+        await one.session.renew()
+        await one.session.end()
+        await two.look()
+        assert two.table.is_expired(one.session.id)
+        assert store.calls["delete"] == 0
+
+    asyncio.run(check())
+
+
+def test_scope_moves_only_to_a_process_preferred_for_long():
+    async def check():
+        _, clock, one, two = world("one", "two")
+        ranked = rank_processes(SCOPE, ("one", "two"))
+        first, second = (one, two) if ranked[0] == "one" else (two, one)
+        held = {"holder": second.session.id.process, "epoch": 1}
+        held["incarnation"] = second.session.id.incarnation
+        policy = ScopePolicy(second.session.id, second.table, clock)
+        await first.session.renew()
+        await second.look()
+        assert policy.decide(SCOPE, held) is Action.NOTHING
+        for _ in range(int(MOVE_AFTER_S)):
+            clock.advance(1.0)
+            await first.session.renew()
+            await second.look()
+            action = policy.decide(SCOPE, held)
+        assert action is Action.RELEASE
+        # The next in rank waits, then takes what the first leaves free.
+        assert policy.decide(SCOPE, {}) is Action.NOTHING
+        clock.advance(RANK_DELAY_S)
+        assert policy.decide(SCOPE, {}) is Action.TAKE
+
+    asyncio.run(check())
+
+
+def test_scopes_of_a_lost_process_alone_change_their_rank():
+    scopes = [f"usage/{number}" for number in range(200)]
+    names = ("a", "b", "c", "d")
+    for scope in scopes:
+        ranked = rank_processes(scope, names)
+        assert rank_processes(scope, ranked[:-1])[0] == ranked[0]
+    shares = [rank_processes(scope, names)[0] for scope in scopes]
+    assert min(shares.count(name) for name in names) > 30
