--- /dev/null
+++ b/libs/observe/src/shallotstand/observe/burn_text.py
@@ -0,0 +1,96 @@
+"""The burn report as text for a terminal and as JSON."""
+
+from collections.abc import Sequence
+from typing import TypedDict
+
+from shallotstand.observe.burn import HOUR_S, MINUTE_S, SubjectBurn, WindowBurn
+
+_NO_RATE = "-"
+
+
+class WindowJson(TypedDict):
+    """A window in the JSON report; `rate` is null if nothing was counted."""
+
+    window: str
+    rate: float | None
+    counted: float
+
+
+class BurnJson(TypedDict):
+    """An objective in the JSON report."""
+
+    service: str
+    account: str
+    target: float
+    budget_left: float
+    alerts: list[str]
+    windows: list[WindowJson]
+
+
+def render_json(burns: Sequence[SubjectBurn]) -> list[BurnJson]:
+    """Returns the report as values for a JSON encoder."""
+    return [
+        BurnJson(
+            service=burn.objective.subject.service,
+            account=burn.objective.subject.account,
+            target=burn.objective.target,
+            budget_left=round(burn.budget_left, 6),
+            alerts=list(burn.alerts),
+            windows=[
+                WindowJson(
+                    window=window_name(window.length_s),
+                    rate=window.rate,
+                    counted=window.counted,
+                )
+                for window in burn.windows
+            ],
+        )
+        for burn in burns
+    ]
+
+
+def render_text(burns: Sequence[SubjectBurn]) -> str:
+    """Returns the report as a table; `*` marks rates with missing minutes."""
+    if not burns:
+        return "No objectives are configured.\n"
+    names = [window_name(window.length_s) for window in burns[0].windows]
+    header = ["service", "account", "target", "budget left", *names, "alert"]
+    rows = [header, *(_row(burn) for burn in burns)]
+    widths = [
+        max(len(cell) for cell in column) for column in zip(*rows, strict=True)
+    ]
+    lines = (
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(row, widths, strict=True)
+        ).rstrip()
+        for row in rows
+    )
+    note = "* an entry did not report every minute of the window\n"
+    table = "\n".join(lines) + "\n"
+    return table + note if "*" in table else table
+
+
+def window_name(length_s: int) -> str:
+    """Returns a window's length in minutes or hours, such as `6h`."""
+    if length_s < HOUR_S:
+        return f"{length_s // MINUTE_S}m"
+    return f"{length_s // HOUR_S}h"
+
+
+def _row(burn: SubjectBurn) -> list[str]:
+    subject = burn.objective.subject
+    return [
+        subject.service,
+        subject.account or "(all)",
+        f"{burn.objective.target:.3%}",
+        f"{burn.budget_left:.1%}",
+        *(_rate(window) for window in burn.windows),
+        ", ".join(burn.alerts) or _NO_RATE,
+    ]
+
+
+def _rate(window: WindowBurn) -> str:
+    if window.rate is None:
+        return _NO_RATE
+    mark = "" if window.counted == 1 else "*"
+    return f"{window.rate:.2f}{mark}"
--- /dev/null
+++ b/libs/observe/tests/test_slo_recorder.py
@@ -0,0 +1,86 @@
+"""Counts survive the store's outages, and gaps show up as gaps."""
+
+import asyncio
+
+from shallotstand.core.clock import ManualClock
+from shallotstand.observe.burn import (
+    MINUTE_S,
+    MinuteIndex,
+    Objective,
+    Subject,
+    burn_of,
+)
+from shallotstand.observe.burn_text import render_json, render_text
+from shallotstand.observe.slo_recorder import SloRecorder, read_minutes
+from shallotstand.standins.object_store import StandinObjectStore, StoreFaults
+
+
+def make(store, clock, run="1"):
+    return SloRecorder("entry-1", run, store, clock)
+
+
+async def run_minutes(recorder, clock, count, good=9, bad=1):
+    for _ in range(count):
+        for index in range(good + bad):
+            recorder.count("quotes", "club", good=index < good)
+        clock.advance(MINUTE_S)
+        await recorder.flush()
+
+
+async def burn(store, clock):
+    minutes, expected = read_minutes(await store.list("slo/"))
+    objective = Objective(Subject("quotes"), 0.9)
+    return burn_of(objective, MinuteIndex(minutes, expected), int(clock.wall()))
+
+
+def test_counts_over_an_hour_boundary_add_up():
+    async def check():
+        store, clock = StandinObjectStore(), ManualClock()
+        await run_minutes(make(store, clock), clock, 90)
+        minutes, _ = read_minutes(await store.list("slo/"))
+        assert sum(m.tally.good for m in minutes) == 9 * 90
+        assert sum(m.tally.bad for m in minutes) == 90
+
+    asyncio.run(check())
+
+
+def test_outage_and_lost_answers_lose_nothing_within_the_hour():
+    async def check():
+        store, clock = StandinObjectStore(), ManualClock()
+        recorder = make(store, clock)
+        await run_minutes(recorder, clock, 3)
+        await store.set_faults(StoreFaults(down=True))
+        await run_minutes(recorder, clock, 5)
+        await store.set_faults(StoreFaults(lost_answers=1.0))
+        await run_minutes(recorder, clock, 3)
+        await store.set_faults(StoreFaults())
+        await run_minutes(recorder, clock, 3)
+        minutes, _ = read_minutes(await store.list("slo/"))
+        assert sum(m.tally.good + m.tally.bad for m in minutes) == 14 * 10
+
+    asyncio.run(check())
+
+
+def test_minutes_between_two_runs_are_reported_as_missing():
+    async def check():
+        store, clock = StandinObjectStore(), ManualClock()
+        await run_minutes(make(store, clock), clock, 2)
+        clock.advance(2 * MINUTE_S)
+        await run_minutes(make(store, clock, run="2"), clock, 2)
+        result = await burn(store, clock)
+        assert result.windows[0].counted < 1
+        assert "*" in render_text([result])
+        assert render_json([result])[0]["windows"][0]["counted"] < 1
+
+    asyncio.run(check())
+
+
+def test_an_entry_without_requests_still_reports():
+    async def check():
+        store, clock = StandinObjectStore(), ManualClock()
+        await run_minutes(make(store, clock), clock, 5, good=0, bad=0)
+        result = await burn(store, clock)
+        assert result.windows[0].rate is None
+        assert result.windows[0].counted > 0.5
+
+    asyncio.run(check())
