--- a/apps/sidecar/src/shallotstand/sidecar/main.py
+++ b/apps/sidecar/src/shallotstand/sidecar/main.py
@@ -14,11 +14,15 @@
 from shallotstand.link.node import Identity, Node
 from shallotstand.settings.loader import load_or_exit
 from shallotstand.sidecar.endpoint import LocalEndpoint
+from shallotstand.sidecar.order_gate import OrderGate
 from shallotstand.sidecar.peers import PeerService
 from shallotstand.sidecar.runner import Runner
 from shallotstand.sidecar.settings import TABLE, SidecarSettings
 from shallotstand.sidecar.usage_log import UsageLog
 
+# Three checkpoints of a collector; the entries have copies of the records.
+USAGE_HANDOVER_S = 15.0
+
 
 async def run(settings: SidecarSettings) -> None:
     """Serves until SIGTERM, then until the answers in progress have ended."""
@@ -28,9 +32,15 @@
         endpoint.name: LocalEndpoint(endpoint, HttpEngine(endpoint.url))
         for endpoint in settings.endpoints
     }
-    usage_log = UsageLog(incarnation, settings.window_s)
+    usage_log = UsageLog(incarnation, settings.window_s, settings.usage_shards)
     runner = Runner(endpoints_by_name, usage_log, clock)
-    service = PeerService(settings.zone, endpoints_by_name, runner, usage_log)
+    service = PeerService(
+        settings.zone,
+        endpoints_by_name,
+        runner,
+        usage_log,
+        OrderGate(endpoints_by_name, clock),
+    )
     identity = Identity(
         settings.process_id, "sidecar", settings.zone, incarnation
     )
@@ -43,14 +53,21 @@
     tasks.append(asyncio.create_task(service.report_usage()))
     for address in settings.peers:
         node.dial(address.host, address.port)
-    stopping = asyncio.Event()
+    stopping, hurrying = asyncio.Event(), asyncio.Event()
+
+    def on_signal() -> None:
+        """Stops at the first signal, without delay at the second."""
+        (hurrying if stopping.is_set() else stopping).set()
+
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(number, on_signal)
     logs.event(logging.INFO, "Started", endpoints=list(endpoints_by_name))
     await stopping.wait()
-    runner.accepting = False
-    await service.activity.wait_idle(settings.shutdown_deadline_s)
+    service.leave()
+    finishing = asyncio.create_task(_finish(service, settings))
+    tasks.extend((finishing, asyncio.create_task(hurrying.wait())))
+    await asyncio.wait(tasks[-2:], return_when=asyncio.FIRST_COMPLETED)
     for task in tasks:
         task.cancel()
     await node.close()
@@ -59,6 +76,13 @@
     logs.event(logging.INFO, "Stopped")
 
 
+async def _finish(service: PeerService, settings: SidecarSettings) -> None:
+    """Waits for the answers in progress, then hands the usage over."""
+    await service.activity.wait_idle(settings.shutdown_deadline_s)
+    if not await service.hand_over_usage(USAGE_HANDOVER_S):
+        logs.event(logging.WARNING, "Usage not handed over")
+
+
 @cappa.command(name="shallotstand-sidecar")
 def start(
     settings: Annotated[
--- a/libs/control/src/shallotstand/control/adoption.py
+++ b/libs/control/src/shallotstand/control/adoption.py
@@ -152,7 +152,7 @@
     def note_held(self, peer: str, revision: int) -> None:
         """Notes that a peer serves by a revision."""
         self._serving_peers.add(peer)
-        self.note_named(revision)
+        self.hear_peer(peer, revision)
 
     def note_named(self, revision: int) -> None:
         """Notes a revision that a peer or sidecar has seen."""
