Encode result codes in messages

Cause: pycapnp refuses subclasses of int. A frame that carried a ResultCode raised in the sidecar's sending task, which ended; from then on no answer left on that link and callers waited without end. Result: a test encodes a frame with a result code; before, it raised.

--- a/libs/link/src/shallotstand/link/link.py
+++ b/libs/link/src/shallotstand/link/link.py
@@ -96,17 +96,18 @@
                 number = int.from_bytes(header, "little")
                 length = number & ~_PACKED_FLAG
                 if length > MAX_MESSAGE_BYTES:
-                    self._abort(ResultCode.FRAME_TOO_LARGE, f"{length} bytes")
+                    self.abort(ResultCode.FRAME_TOO_LARGE, f"{length} bytes")
                     return
                 body = await self._reader.readexactly(length)
                 self.bytes_received += _LENGTH_BYTES + length
                 message = decode(Encoded(body, bool(number & _PACKED_FLAG)))
                 if isinstance(message, Failure):
-                    self._abort(message.code, message.reason)
+                    self.abort(message.code, message.reason)
                     return
                 yield message
 
-    def _abort(self, code: ResultCode, reason: str) -> None:
+    def abort(self, code: ResultCode, reason: str) -> None:
+        """Ends the link at once, because its state is in doubt."""
         self.failure = Failure(code, reason)
         self._writer.transport.abort()
 
--- a/libs/link/tests/test_codec.py
+++ b/libs/link/tests/test_codec.py
@@ -72,3 +72,10 @@
 
 def test_unset_fields_have_their_defaults():
     assert decode(encode(Ping(0, 0, 0))) == Ping(0, 0, 0)
+
+
+def test_result_codes_survive_the_wire():
+    # Guards against a codec that refuses enumerations: the exception ended
+    # the task that sends answers, and every caller of the link waited.
+    failed = Frames((Frame(1, end=True, code=ResultCode.ANSWER_CUT),))
+    assert decode(encode(failed)) == failed
