End streams and links whose task failed in the sidecar

Cause: an unexpected exception in a request's task or in the sending task left the stream open, so the caller waited without end. Result: two tests with a failing runner and a link that refuses messages. Conclusion: no stream outlives the task that serves it.

--- a/apps/sidecar/src/shallotstand/sidecar/peers.py
+++ b/apps/sidecar/src/shallotstand/sidecar/peers.py
@@ -2,10 +2,14 @@
 
 import asyncio
 
+from absl import logging
+from shallotstand.core import logs
 from shallotstand.core.activity import Activity
+from shallotstand.core.codes import ResultCode
 from shallotstand.link.messages import (
     Cancel,
     Crash,
+    Frame,
     Hello,
     Load,
     Request,
@@ -30,9 +34,11 @@
     ):
         self._runner = runner
         self._activity = activity
+        self._link = peer.link
         self._outbox = Outbox(peer.link)
         self._tasks_by_stream: dict[int, asyncio.Task] = {}
         self._sender = asyncio.create_task(self._outbox.run())
+        self._sender.add_done_callback(self._on_sender_end)
 
     def submit(self, requests: tuple[Request, ...]) -> None:
         """Starts a task for each request."""
@@ -58,10 +64,28 @@
         self._activity.begin()
         try:
             await self._runner.run(request, self._outbox)
+        except Exception as error:
+            # Without an end the caller would wait for ever.
+            logs.event(logging.ERROR, "Request failed", error=repr(error))
+            self._outbox.end(
+                Frame(
+                    request.stream,
+                    end=True,
+                    code=ResultCode.INTERNAL,
+                    reason=type(error).__name__,
+                )
+            )
         finally:
             self._activity.end()
             del self._tasks_by_stream[request.stream]
 
+    def _on_sender_end(self, sender: asyncio.Task) -> None:
+        """Closes a link on which no answer can be sent any more."""
+        if not sender.cancelled() and sender.exception() is not None:
+            error = repr(sender.exception())
+            logs.event(logging.ERROR, "Answers not sent", error=error)
+            self._link.abort(ResultCode.INTERNAL, error)
+
 
 class PeerService:
     """Serves every peer of the sidecar.
--- /dev/null
+++ b/apps/sidecar/tests/test_peer_session.py
@@ -0,0 +1,68 @@
+"""Tests of a session whose parts fail unexpectedly."""
+
+import asyncio
+
+from shallotstand.core.activity import Activity
+from shallotstand.core.codes import ResultCode
+from shallotstand.link.messages import Frames, Request
+from shallotstand.sidecar.peers import PeerSession
+
+REQUEST = Request(
+    **dict.fromkeys(Request._fields, 0)
+    | {"stream": 7, "request_id": "r", "endpoint": "e1"}
+)
+
+
+class FakeLink:
+    def __init__(self, refuses=False):
+        self.refuses = refuses
+        self.sent = []
+        self.aborted = None
+
+    def send(self, message):
+        if self.refuses:
+            raise ValueError("can't encode")
+        self.sent.append(message)
+        return True
+
+    def abort(self, code, reason):
+        self.aborted = code
+
+
+class FakePeer:
+    def __init__(self, link):
+        self.link = link
+
+
+class FailingRunner:
+    async def run(self, request, outbox):
+        raise KeyError("x")
+
+
+def run_session(link) -> None:
+    async def run() -> None:
+        activity = Activity()
+        session = PeerSession(FakePeer(link), FailingRunner(), activity)
+        session.submit((REQUEST,))
+        await asyncio.sleep(0.05)
+        assert activity.count == 0
+        await session.close()
+
+    asyncio.run(run())
+
+
+def test_unexpected_error_ends_the_stream():
+    # Guards against a caller that waits for an answer that never ends.
+    link = FakeLink()
+    run_session(link)
+    ((message),) = link.sent
+    assert isinstance(message, Frames)
+    assert message.frames[0].stream == 7
+    assert message.frames[0].code == ResultCode.INTERNAL
+
+
+def test_link_on_which_nothing_can_be_sent_is_closed():
+    # Guards against a link that stays open and answers nothing.
+    link = FakeLink(refuses=True)
+    run_session(link)
+    assert link.aborted == ResultCode.INTERNAL
