Time the request body, and keep not-run refusals true

Cause: sanic's request timeout ends with the head, so half a body held a connection for up to 660 s; a model name that is no string gave 9001; a request that one attempt had run was refused with 1012 (not run) when no other endpoint was left. Change: a request class bounds the body; the model name is taken as a string; an unknown outcome of any attempt takes precedence.

--- a/apps/entry/src/shallotstand/entry/gateway.py
+++ b/apps/entry/src/shallotstand/entry/gateway.py
@@ -7,7 +7,7 @@
 import orjson
 from shallotstand.core.activity import Activity
 from shallotstand.core.clock import Clock
-from shallotstand.core.codes import ResultCode
+from shallotstand.core.codes import ResultCode, is_not_run
 from shallotstand.core.failure import Failure
 from shallotstand.core.ids import new_id
 from shallotstand.entry.sidecars import Fleet, RemoteEndpoint
@@ -241,7 +241,7 @@
             return Failure(ResultCode.BAD_REQUEST, f"Not JSON: {error}")
         if not isinstance(fields, dict):
             return Failure(ResultCode.BAD_REQUEST, "Not a JSON object.")
-        name = fields.get("model")
+        name = str(fields.get("model"))
         service = self._catalog.services_by_name.get(name)
         if service is None or service.kind != "model":
             return Failure(ResultCode.ROUTE_UNKNOWN, f"No model {name!r}.")
@@ -281,16 +281,20 @@
         self._retries.on_request()
         message = _message(request, route, principal)
         excluded: frozenset[str] = frozenset()
+        unknown: Failure | None = None
         while True:
             left = deadline - self._clock.monotonic()
             outcome = await self._send_once(message, route, excluded, left)
             if not isinstance(outcome, Failure):
                 return outcome
+            if not is_not_run(outcome.code):
+                unknown = outcome
             delay = self._retries.delay(
                 outcome.code, route.service.idempotent, message.attempt, left
             )
             if delay is None:
-                return outcome
+                # "Not run" must be true of every attempt.
+                return unknown or outcome
             excluded |= {message.endpoint}
             message = message._replace(attempt=message.attempt + 1)
             await asyncio.sleep(delay)
--- a/apps/entry/src/shallotstand/entry/http_front.py
+++ b/apps/entry/src/shallotstand/entry/http_front.py
@@ -1,5 +1,6 @@
 """The HTTP front for callers, over the gateway."""
 
+import asyncio
 from collections.abc import Mapping
 
 import orjson
@@ -18,9 +19,35 @@
 _PRIORITIES = frozenset({"interactive", "rollout"})
 
 
+class TimedRequest(HttpRequest):
+    """A request whose body must arrive within the request timeout.
+
+    Sanic's own timeout ends with the head of the request.
+    """
+
+    async def receive_body(self) -> None:
+        """Receives the body.
+
+        Raises:
+          RequestTimeout: It did not arrive whole in time.
+        """
+        try:
+            async with asyncio.timeout(self.app.config.REQUEST_TIMEOUT):
+                await super().receive_body()
+        except TimeoutError as error:
+            # Otherwise sanic waits for the rest after it has answered.
+            self.stream.keep_alive = False
+            self.stream.request_body = None
+            raise RequestTimeout("Request Timeout") from error
+
+
 def make_app(settings: EntrySettings, gateway: Gateway) -> Sanic:
     """Returns the application that serves callers."""
-    app = Sanic("shallotstand-entry", configure_logging=False)
+    app = Sanic(
+        "shallotstand-entry",
+        configure_logging=False,
+        request_class=TimedRequest,
+    )
     app.config.REQUEST_MAX_SIZE = settings.max_body_bytes
     app.config.REQUEST_TIMEOUT = settings.request_timeout_s
     app.config.RESPONSE_TIMEOUT = settings.shutdown_deadline_s
