--- a/libs/control/src/shallotstand/control/orders.py
+++ b/libs/control/src/shallotstand/control/orders.py
@@ -4,12 +4,6 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
 
-from shallotstand.control.records import (
-    Record,
-    Value,
-    read_record,
-    update_record,
-)
 from shallotstand.control.scopes import PREFIX, HeldScope, check_holder
 from shallotstand.control.sessions import OwnSession
 from shallotstand.control.watchdog import Watchdog
@@ -17,6 +11,14 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.core.ids import new_id
+from shallotstand.platform.conditional import (
+    DEFAULT_BACKOFF,
+    Backoff,
+    Value,
+    decode_value,
+    read_object,
+    update_object,
+)
 from shallotstand.platform.protocols import ObjectStore
 
 MAX_ORDER_S = 10.0
@@ -67,7 +69,9 @@
         watchdog: Watchdog,
         clock: Clock,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+        backoff: Backoff = DEFAULT_BACKOFF,
     ):
+        self._backoff = backoff
         self._session = session
         self._store = store
         self._watchdog = watchdog
@@ -94,7 +98,8 @@
         Errors:
           STALE_EPOCH: Another process holds the scope; nothing was sent.
           LEASE_LAPSED: Too little of the lease is left; nothing was sent.
-          STORE_UNAVAILABLE: The intent is not recorded; nothing was sent.
+          STORE_UNAVAILABLE, OUTCOME_UNKNOWN: The intent is not known to be
+            recorded; nothing was sent.
           Others: What the receiver answered.
         """
         lock = self._locks_by_scope.setdefault(held.name, asyncio.Lock())
@@ -116,9 +121,9 @@
         order_id = new_id()
         lifetime_s = min(timeout_s, MAX_ORDER_S)
         intent = {"order_id": order_id, "timeout_s": lifetime_s}
-        recorded = await self._record(held, intent, None)
-        if isinstance(recorded, Failure):
-            return recorded
+        failure = await self._record(held, intent, None)
+        if failure is not None:
+            return failure
         lifetime_s = min(lifetime_s, self._session.time_left - LEASE_MARGIN_S)
         if lifetime_s <= 0:
             return _LAPSED
@@ -139,10 +144,10 @@
 
     async def _record(
         self, held: HeldScope, intent: Value | None, closes: str | None
-    ) -> Record | Failure:
+    ) -> Failure | None:
         """Opens an intent, or closes the one with this order id."""
 
-        def change(value: Value) -> Value | Failure:
+        def change(value: Value | None) -> Value | Failure:
             failure = check_holder(value, held, self._session.id)
             if failure is not None:
                 return failure
@@ -155,11 +160,19 @@
             # A slow store must not keep the order open until the watchdog
             # fires: an intent that stays open costs the next order a wait.
             async with asyncio.timeout(self._session.time_left * 0.5):
-                return await update_record(
-                    self._store, PREFIX + held.name, change
+                written = await update_object(
+                    self._store,
+                    PREFIX + held.name,
+                    change,
+                    backoff=self._backoff,
                 )
         except TimeoutError:
             return Failure(ResultCode.STORE_UNAVAILABLE, "The store is slow.")
+        if isinstance(written, Failure):
+            return written
+        if not written.is_latest:
+            return Failure(ResultCode.STALE_EPOCH, "Written over since.")
+        return None
 
     async def _wait_out_intent(
         self, held: HeldScope, receiver: OrderReceiver
@@ -169,19 +182,21 @@
         The wait counts from when the intent is seen, so no clocks are
         compared. An own order without a result is treated alike.
         """
-        record = await read_record(self._store, PREFIX + held.name)
-        if isinstance(record, Failure):
-            return record
-        failure = check_holder(record.value, held, self._session.id)
-        intent = record.value.get("intent")
+        stored = await read_object(
+            self._store, PREFIX + held.name, self._backoff
+        )
+        if isinstance(stored, Failure):
+            return stored
+        value = decode_value(stored.value)
+        failure = check_holder(value, held, self._session.id)
+        intent = value.get("intent")
         if failure is not None or not intent:
             return failure
         await self._sleep(min(intent["timeout_s"], MAX_ORDER_S))
         failure = await receiver.read_back(held.name)
         if failure is not None:
             return failure
-        closed = await self._record(held, None, intent["order_id"])
-        return closed if isinstance(closed, Failure) else None
+        return await self._record(held, None, intent["order_id"])
 
     def _arm(self) -> None:
         self._in_flight += 1
--- a/libs/control/src/shallotstand/control/scopes.py
+++ b/libs/control/src/shallotstand/control/scopes.py
@@ -5,17 +5,18 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from shallotstand.control.records import (
-    ABSENT,
-    Record,
-    Value,
-    decode_record,
-    update_record,
-)
 from shallotstand.control.sessions import OwnSession, SessionId, SessionTable
 from shallotstand.core.clock import Clock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
+from shallotstand.platform.conditional import (
+    DEFAULT_BACKOFF,
+    Backoff,
+    Change,
+    Value,
+    decode_value,
+    update_object,
+)
 from shallotstand.platform.protocols import ObjectStore, StoredObject
 
 PREFIX = "scope/"
@@ -122,27 +123,27 @@
         sessions: SessionTable,
         store: ObjectStore,
         clock: Clock,
+        backoff: Backoff = DEFAULT_BACKOFF,
     ):
         self.held_by_name: dict[str, HeldScope] = {}
         self._session = session
         self._sessions = sessions
         self._store = store
         self._policy = ScopePolicy(session.id, sessions, clock)
-        self._records_by_name: dict[str, Record] = {}
+        self._backoff = backoff
+        self._values_by_name: dict[str, Value] = {}
 
     def observe(self, stored: StoredObject | Failure) -> None:
         """Takes what a watch of `scope/` yielded."""
-        if isinstance(stored, Failure):
+        if isinstance(stored, Failure) or stored.version == 0:
             return
         name = stored.key.removeprefix(PREFIX)
-        record = decode_record(stored)
-        epoch = record.value.get("epoch", 0)
-        known = self._records_by_name.get(name, ABSENT)
-        if epoch < known.value.get("epoch", 0):
+        value = decode_value(stored.value)
+        if value["epoch"] < self._value(name).get("epoch", 0):
             return  # the watch lags behind this process's own takeover
-        self._records_by_name[name] = record
+        self._values_by_name[name] = value
         held = self.held_by_name.get(name)
-        if held and epoch > held.epoch:
+        if held and value["epoch"] > held.epoch:
             del self.held_by_name[name]
 
     async def settle(self, wanted: Iterable[str]) -> None:
@@ -152,7 +153,7 @@
           wanted: Every scope that there should be.
         """
         for name in wanted:
-            value = self._records_by_name.get(name, ABSENT).value
+            value = self._value(name)
             action = self._policy.decide(name, value)
             if holder_of(value) == self._session.id and (
                 name not in self.held_by_name
@@ -175,11 +176,11 @@
         """
         if self._session.time_left <= 0:
             return Failure(ResultCode.LEASE_LAPSED, "The session expired.")
-        written = await update_record(self._store, PREFIX + name, self._claim)
-        if isinstance(written, Failure):
-            return written
-        held = HeldScope(name, written.value["epoch"])
-        self._records_by_name[name] = written
+        value = await self._update(name, self._claim)
+        if isinstance(value, Failure):
+            return value
+        held = HeldScope(name, value["epoch"])
+        self._values_by_name[name] = value
         self.held_by_name[name] = held
         return held
 
@@ -189,17 +190,31 @@
         if held is None:
             return None
 
-        def free(value: Value) -> Value | Failure:
+        def free(value: Value | None) -> Value | Failure:
             return check_holder(value, held, self._session.id) or {
                 **value,
                 "holder": "",
                 "incarnation": "",
             }
 
-        written = await update_record(self._store, PREFIX + name, free)
+        written = await self._update(name, free)
         return written if isinstance(written, Failure) else None
 
-    def _claim(self, value: Value) -> Value | Failure:
+    async def _update(self, name: str, change: Change) -> Value | Failure:
+        written = await update_object(
+            self._store, PREFIX + name, change, backoff=self._backoff
+        )
+        if isinstance(written, Failure):
+            return written
+        if not written.is_latest:
+            return Failure(ResultCode.VERSION_CONFLICT, "Written over since.")
+        return written.value
+
+    def _value(self, name: str) -> Value:
+        return self._values_by_name.get(name, {})
+
+    def _claim(self, value: Value | None) -> Value | Failure:
+        value = value or {}
         holder = holder_of(value)
         if holder not in (None, self._session.id) and (
             not self._sessions.is_expired(holder)
@@ -214,13 +229,14 @@
 
 
 def check_holder(
-    value: Value, held: HeldScope, own: SessionId
+    value: Value | None, held: HeldScope, own: SessionId
 ) -> Failure | None:
     """Checks that a scope object still names this holding.
 
     Errors:
       STALE_EPOCH: Another process took the scope over.
     """
-    if holder_of(value) == own and value.get("epoch") == held.epoch:
+    value = value or {}
+    if holder_of(value) == own and value["epoch"] == held.epoch:
         return None
     return Failure(ResultCode.STALE_EPOCH, f"{held.name} was taken over.")
--- a/libs/control/src/shallotstand/control/usage_reports.py
+++ b/libs/control/src/shallotstand/control/usage_reports.py
@@ -8,6 +8,11 @@
 from shallotstand.core import logs
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
+from shallotstand.platform.conditional import (
+    DEFAULT_BACKOFF,
+    Backoff,
+    create_once,
+)
 from shallotstand.platform.protocols import (
     ObjectStore,
     StoredObject,
@@ -47,7 +52,13 @@
 class Reporter:
     """Freezes reports in the store and sends what is frozen."""
 
-    def __init__(self, store: ObjectStore, sink: UsageSink):
+    def __init__(
+        self,
+        store: ObjectStore,
+        sink: UsageSink,
+        backoff: Backoff = DEFAULT_BACKOFF,
+    ):
+        self._backoff = backoff
         self._store = store
         self._sink = sink
 
@@ -84,10 +95,12 @@
         """Freezes the report of one account and sends the frozen bytes."""
         window = book["window"]
         key = report_key(account, window)
-        created = await self._store.put(key, report_body(account, book), 0)
+        created = await create_once(
+            self._store, key, report_body(account, book), self._backoff
+        )
         if isinstance(created, Failure) and created.code not in (
             ResultCode.VERSION_CONFLICT,
-            ResultCode.STORE_UNAVAILABLE,
+            ResultCode.OUTCOME_UNKNOWN,
         ):
             return created
         return await self.resend(account, window)
