--- a/libs/link/src/shallotstand/link/node.py
+++ b/libs/link/src/shallotstand/link/node.py
@@ -146,6 +146,7 @@
         self._peers_by_address: dict[tuple[str, int], Peer] = {}
         self._dialers_by_address: dict[tuple[str, int], asyncio.Task] = {}
         self._accepted: set[asyncio.Task] = set()
+        self._sequence = itertools.count(1)
         self._heartbeat: asyncio.Task | None = None
         self._closing = False
 
@@ -239,6 +240,9 @@
     async def _serve_peer(self, peer: PeerConnection) -> None:
         process_id = peer.hello.process_id
         self.peers_by_id[process_id] = peer
+        # The first Ping goes out at once: it carries the clock that orders
+        # need and tells the peer that this process hears it.
+        peer.send(self._next_ping())
         if self._heartbeat is None:
             self._heartbeat = asyncio.create_task(self._send_pings())
         logs.event(logging.INFO, "Peer connected", peer=process_id)
@@ -278,12 +282,15 @@
 
     async def _send_pings(self) -> None:
         """Sends one Ping to all peers, encoded once, each second."""
-        for sequence in itertools.count(1):
-            now_ms = int(self._clock.monotonic() * 1000)
-            body = encode(Ping(sequence, self.revision, now_ms))
+        while True:
+            await asyncio.sleep(PING_INTERVAL_S)
+            body = encode(self._next_ping())
             for peer in self.peers_by_id.values():
                 peer.link.send_encoded(body)
-            await asyncio.sleep(PING_INTERVAL_S)
+
+    def _next_ping(self) -> Ping:
+        now_ms = int(self._clock.monotonic() * 1000)
+        return Ping(next(self._sequence), self.revision, now_ms)
 
     def _learn(self, hello: Hello) -> None:
         """Dials the entries and controllers that a peer knows."""
