--- a/libs/control/src/shallotstand/control/sessions.py
+++ b/libs/control/src/shallotstand/control/sessions.py
@@ -5,17 +5,17 @@
 from typing import NamedTuple
 
 from absl import logging
-from shallotstand.control.records import (
-    ABSENT,
-    Record,
-    decode_record,
-    read_record,
-    write_record,
-)
 from shallotstand.core import logs
 from shallotstand.core.clock import Clock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
+from shallotstand.platform.conditional import (
+    DEFAULT_BACKOFF,
+    Backoff,
+    Value,
+    decode_value,
+    update_object,
+)
 from shallotstand.platform.protocols import ObjectStore, StoredObject
 
 RENEW_INTERVAL_S = 3.0
@@ -46,12 +46,18 @@
       superseded: Whether a later run of the process took the object over.
     """
 
-    def __init__(self, session_id: SessionId, store: ObjectStore, clock: Clock):
+    def __init__(
+        self,
+        session_id: SessionId,
+        store: ObjectStore,
+        clock: Clock,
+        backoff: Backoff = DEFAULT_BACKOFF,
+    ):
         self.id = session_id
         self.superseded = False
         self._store = store
         self._clock = clock
-        self._record: Record | None = None
+        self._backoff = backoff
         self._has_written = False
         self._expires_at = clock.monotonic()
 
@@ -66,31 +72,18 @@
         """Renews the session by one conditional update.
 
         Errors:
-          VERSION_CONFLICT: Another run of the process wrote; the next call
-            tells which is the later one.
+          VERSION_CONFLICT: Another run of the process wrote meanwhile.
           LEASE_LAPSED: A later run of the process took the session over.
-          STORE_UNAVAILABLE: No answer in time.
+          STORE_UNAVAILABLE, OUTCOME_UNKNOWN: No answer in time.
         """
         # The store may hold the answer back, so time counts from the start.
         started = self._clock.monotonic()
-        held = self._record or await read_record(
-            self._store, PREFIX + self.id.process
-        )
-        if isinstance(held, Failure):
-            return held
-        if self._is_taken_over(held):
-            return Failure(ResultCode.LEASE_LAPSED, "A later run took over.")
-        self._record = None
-        written = await write_record(
-            self._store, PREFIX + self.id.process, held, self._next(held)
-        )
-        if isinstance(written, Failure):
-            return written
-        self._record = written
-        # Until then the object may still be that of the run before.
-        self._has_written = True
-        self._expires_at = started + OWN_EXPIRY_S
-        return None
+        failure = await self._write(has_ended=False)
+        if failure is None:
+            # Until then the object may still be that of the run before.
+            self._has_written = True
+            self._expires_at = started + OWN_EXPIRY_S
+        return failure
 
     async def keep(self, on_renewed: Callable[[], None]) -> None:
         """Renews the session until it is taken over or the task cancelled."""
@@ -109,26 +102,41 @@
         writer recognizes its own write.
         """
         self.superseded = True
-        if self._record is not None:
-            value = {**self._next(self._record), "has_ended": True}
-            key = PREFIX + self.id.process
-            await write_record(self._store, key, self._record, value)
+        if self._has_written:
+            await self._write(has_ended=True)
+
+    async def _write(self, has_ended: bool) -> Failure | None:
+        def change(held: Value | None) -> Value | Failure:
+            held = held or {}
+            if self._is_taken_over(held):
+                return Failure(
+                    ResultCode.LEASE_LAPSED, "A later run took over."
+                )
+            return {
+                "incarnation": self.id.incarnation,
+                "renewals": held.get("renewals", 0) + 1,
+                "has_ended": has_ended,
+            }
+
+        key = PREFIX + self.id.process
+        written = await update_object(
+            self._store, key, change, backoff=self._backoff
+        )
+        if isinstance(written, Failure):
+            return written
+        if not written.is_latest:
+            return Failure(ResultCode.VERSION_CONFLICT, "Written over since.")
+        return None
 
-    def _is_taken_over(self, held: Record) -> bool:
+    def _is_taken_over(self, held: Value) -> bool:
         """Notes if the object belongs to a run that started later.
 
         The first renewal of a run takes the object over from the run before.
         """
-        owner = held.value.get("incarnation", self.id.incarnation)
+        owner = held.get("incarnation", self.id.incarnation)
         if self._has_written and owner != self.id.incarnation:
             self.superseded = True
-        return self.superseded
-
-    def _next(self, held: Record) -> dict[str, object]:
-        return {
-            "incarnation": self.id.incarnation,
-            "renewals": held.value.get("renewals", 0) + 1,
-        }
+        return self._has_written and owner != self.id.incarnation
 
 
 class SessionTable:
@@ -136,7 +144,8 @@
 
     def __init__(self, clock: Clock):
         self._clock = clock
-        self._records_by_process: dict[str, Record] = {}
+        self._ids_by_process: dict[str, SessionId] = {}
+        self._versions_by_process: dict[str, int] = {}
         self._seen_at_by_id: dict[SessionId, float] = {}
         self._ended: set[SessionId] = set()
         self._blind = True
@@ -149,16 +158,17 @@
             self._seen_at_by_id.clear()
             return
         self._blind = False
-        process = stored.key.removeprefix(PREFIX)
-        record = decode_record(stored)
-        before = self._records_by_process.get(process, ABSENT)
-        self._records_by_process[process] = record
-        if record is ABSENT:
+        if stored.version == 0:
             return
-        if record.value.get("has_ended"):
-            self._ended.add(_id(process, record))
-        elif record.version != before.version:
-            self._seen_at_by_id[_id(process, record)] = self._clock.monotonic()
+        process = stored.key.removeprefix(PREFIX)
+        value = decode_value(stored.value)
+        session = SessionId(process, value["incarnation"])
+        self._ids_by_process[process] = session
+        if value["has_ended"]:
+            self._ended.add(session)
+        elif stored.version != self._versions_by_process.get(process):
+            self._seen_at_by_id[session] = self._clock.monotonic()
+        self._versions_by_process[process] = stored.version
 
     def is_expired(self, session: SessionId) -> bool:
         """Says whether a session has been unchanged for long enough.
@@ -177,11 +187,6 @@
         """Returns the names of the processes whose sessions are not expired."""
         return frozenset(
             process
-            for process, record in self._records_by_process.items()
-            if record is not ABSENT
-            and not self.is_expired(_id(process, record))
+            for process, session in self._ids_by_process.items()
+            if not self.is_expired(session)
         )
-
-
-def _id(process: str, record: Record) -> SessionId:
-    return SessionId(process, record.value["incarnation"])
--- a/libs/control/src/shallotstand/control/usage_shards.py
+++ b/libs/control/src/shallotstand/control/usage_shards.py
@@ -2,12 +2,7 @@
 
 from collections.abc import Iterable
 
-from shallotstand.control.records import (
-    ABSENT,
-    Record,
-    read_record,
-    write_record,
-)
+import orjson
 from shallotstand.control.usage_book import (
     Book,
     count_records,
@@ -18,6 +13,15 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.link.messages import UsageRecord
+from shallotstand.platform.conditional import (
+    DEFAULT_BACKOFF,
+    Backoff,
+    Change,
+    Value,
+    decode_value,
+    read_object,
+    update_object,
+)
 from shallotstand.platform.protocols import ObjectStore
 
 CHECKPOINT_INTERVAL_S = 5.0
@@ -54,13 +58,16 @@
         store: ObjectStore,
         clock: Clock,
         window_s: int,
+        backoff: Backoff = DEFAULT_BACKOFF,
     ):
+        self._backoff = backoff
         self.shard = shard
         self._epoch = epoch
         self._store = store
         self._clock = clock
         self._window_s = window_s
-        self._record: Record | None = None
+        # Content of the open window's object as it was last written or read.
+        self._stored: bytes | None = None
         self._book: Book | None = None
         self._is_changed = False
         self._is_writing = False
@@ -114,23 +121,21 @@
         found: list[Book] = []
         for steps in range(1, LOOK_BACK_WINDOWS):
             window = self._book["window"] - steps * self._window_s
-            record = await self._read(window)
-            if isinstance(record, Failure):
-                return record
-            if record is ABSENT or record.value["is_reported"]:
+            book = await self._read(window)
+            if isinstance(book, Failure):
+                return book
+            if book is None or book["is_reported"]:
                 break
-            found.append(record.value)
+            found.append(book)
         return found[::-1]
 
     async def mark_reported(self, book: Book) -> Failure | None:
         """Notes that every report of a closed window was taken."""
-        record = await self._read(book["window"])
-        if isinstance(record, Failure):
-            return record
-        value = {**record.value, "is_reported": True}
-        key = checkpoint_key(book["window"], self.shard)
-        written = await write_record(self._store, key, record, value)
-        return written if isinstance(written, Failure) else None
+
+        def change(value: Value | None) -> Value:
+            return {**(value or book), "is_reported": True}
+
+        return await self._update(book["window"], change)
 
     async def _store_all(self) -> Failure | None:
         failure = None if self._book else await self._load()
@@ -150,24 +155,23 @@
         # Another holder's clock may be ahead.
         newest = now + self._window_s
         for steps in range(LOOK_BACK_WINDOWS):
-            record = await self._read(newest - steps * self._window_s)
-            if isinstance(record, Failure):
-                return record
-            if record is not ABSENT:
-                return await self._continue(record)
-        self._record = ABSENT
+            book = await self._read(newest - steps * self._window_s)
+            if isinstance(book, Failure):
+                return book
+            if book is not None:
+                return await self._continue(book)
+        self._stored = None
         return await self._write(open_book(now, self._epoch))
 
-    async def _continue(self, record: Record) -> Failure | None:
-        book: Book = record.value
+    async def _continue(self, book: Book) -> Failure | None:
         if book["epoch"] > self._epoch:
             return Failure(ResultCode.STALE_EPOCH, "A later holder collects.")
         if book["is_closed"]:
-            self._record = ABSENT
+            self._stored = None
             return await self._write(
                 next_book(book, self._window_s, self._epoch)
             )
-        self._record = record
+        self._stored = _encode(book)
         return await self._write({**book, "epoch": self._epoch})
 
     async def _close_window(self) -> Failure | None:
@@ -175,7 +179,7 @@
         if failure is not None:
             return failure
         following = next_book(self._book, self._window_s, self._epoch)
-        self._record = ABSENT
+        self._stored = None
         return await self._write(following)
 
     async def _write(self, book: Book) -> Failure | None:
@@ -184,18 +188,42 @@
             source: state["number"] for source, state in book["sources"].items()
         }
         self._book = book
-        key = checkpoint_key(book["window"], self.shard)
-        written = await write_record(self._store, key, self._record, book)
+
+        def change(value: Value | None) -> Value | Failure:
+            if value != (self._stored and orjson.loads(self._stored)):
+                return Failure(
+                    ResultCode.VERSION_CONFLICT, "Another holder wrote."
+                )
+            return book
+
+        content = _encode(book)
+        failure = await self._update(book["window"], change)
+        if failure is None:
+            self._stored = content
+            self._stored_by_source = numbers
+        return failure
+
+    async def _update(self, window: int, change: Change) -> Failure | None:
+        written = await update_object(
+            self._store,
+            checkpoint_key(window, self.shard),
+            change,
+            backoff=self._backoff,
+        )
         if isinstance(written, Failure):
             return written
-        self._record = written
-        self._stored_by_source = numbers
+        if not written.is_latest:
+            return Failure(ResultCode.VERSION_CONFLICT, "Written over since.")
         return None
 
-    async def _read(self, window: int) -> Record | Failure:
-        return await read_record(
-            self._store, checkpoint_key(window, self.shard)
+    async def _read(self, window: int) -> Book | Failure | None:
+        stored = await read_object(
+            self._store, checkpoint_key(window, self.shard), self._backoff
         )
+        if not isinstance(stored, Failure):
+            return decode_value(stored.value)
+        is_absent = stored.code == ResultCode.OBJECT_NOT_FOUND
+        return None if is_absent else stored
 
     def _current_window(self) -> int:
         now = int(self._clock.wall())
@@ -204,3 +232,7 @@
     def _is_window_over(self) -> bool:
         end = self._book["window"] + self._window_s + GRACE_S
         return self._clock.wall() >= end
+
+
+def _encode(book: Book) -> bytes:
+    return orjson.dumps(book, option=orjson.OPT_SORT_KEYS)
