--- /dev/null
+++ b/apps/entry/src/shallotstand/entry/crashes.py
@@ -0,0 +1,92 @@
+"""Suspects and quarantined requests among the entries."""
+
+from absl import logging
+from shallotstand.core import logs
+from shallotstand.core.clock import Clock
+from shallotstand.link.messages import (
+    Crash,
+    Hello,
+    QuarantinedRequest,
+    Release,
+)
+from shallotstand.link.node import Node
+from shallotstand.serving.quarantine import CrashReport, Quarantine
+
+_MS = 1000
+
+
+class CrashDesk:
+    """Keeps the quarantine of this entry equal to that of the others.
+
+    Attributes:
+      quarantine: What this entry knows.
+      node: Connections to the peers; set right after construction.
+    """
+
+    node: Node | None = None
+
+    def __init__(self, clock: Clock):
+        self.quarantine = Quarantine(clock)
+
+    def describe(self, hello: Hello) -> Hello:
+        """Adds suspects and quarantined requests to the Hello message."""
+        quarantined = self.quarantine.quarantined()
+        return hello._replace(
+            suspects=self.quarantine.suspects(),
+            quarantined=tuple(
+                QuarantinedRequest(fingerprint, int(left_s * _MS))
+                for fingerprint, left_s in quarantined.items()
+            ),
+        )
+
+    def learn(self, hello: Hello) -> None:
+        """Takes what another entry's Hello lists."""
+        left_by_fingerprint = {
+            request.fingerprint: request.left_ms / _MS
+            for request in hello.quarantined
+        }
+        self.quarantine.learn(hello.suspects, left_by_fingerprint)
+
+    def take_crash(self, crash: Crash) -> None:
+        """Takes the word of a sidecar or of another entry."""
+        quarantined = self.quarantine.take_crash(CrashReport(*crash))
+        for fingerprint in quarantined:
+            logs.event(
+                logging.WARNING,
+                "Request quarantined",
+                fingerprint=fingerprint.hex(),
+                endpoint=crash.endpoint,
+            )
+
+    def report_lost(self, crash: Crash) -> None:
+        """Takes and tells a crash of which no sidecar is left to tell.
+
+        A sidecar tells every entry of a crash itself, so only what this entry
+        noticed is passed on.
+        """
+        self.take_crash(crash)
+        self._broadcast(crash)
+
+    def take_release(self, release: Release) -> None:
+        """Clears what another entry saw finish or an operator released."""
+        for fingerprint in release.fingerprints:
+            self.quarantine.release(fingerprint)
+
+    def finish(self, fingerprint: bytes) -> None:
+        """Clears a suspect that finished normally, at all entries."""
+        if self.quarantine.finish(fingerprint):
+            self._broadcast(Release((fingerprint,)))
+
+    def release(self, fingerprint: bytes) -> bool:
+        """Releases a request by an operator's word, at all entries.
+
+        Returns:
+          Whether this entry knew it.
+        """
+        known = self.quarantine.release(fingerprint)
+        self._broadcast(Release((fingerprint,)))
+        return known
+
+    def _broadcast(self, message: Crash | Release) -> None:
+        if self.node is not None:
+            self.node.broadcast(message, "entry")
--- a/apps/entry/src/shallotstand/entry/gateway.py
+++ b/apps/entry/src/shallotstand/entry/gateway.py
@@ -1,6 +1,5 @@
 """Serves callers' requests; knows nothing of HTTP servers."""
 
-import asyncio
 from collections.abc import AsyncIterator, Callable, Mapping
 from typing import Any, NamedTuple
 
@@ -10,21 +9,21 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.core.ids import new_id
-from shallotstand.entry.sidecars import Fleet, RemoteEndpoint
-from shallotstand.entry.streams import AnswerStream
+from shallotstand.core.prompt_blocks import prompt_blocks
+from shallotstand.entry.attempts import Attempts, Opened, Work
+from shallotstand.entry.sidecars import MAX_SUBMIT_BYTES
 from shallotstand.link.messages import Request
 from shallotstand.objects.keys import KeyRing
 from shallotstand.objects.types import Catalog, ClientAccount, Key, Service
 from shallotstand.serving.admission import Admission, Permit, Ticket
 from shallotstand.serving.fingerprint import fingerprint
-from shallotstand.serving.retries import RetryPolicy
-from shallotstand.serving.routing import RouteQuery, Router
 
 _COMPLETION_PATHS = frozenset({"/v1/completions", "/v1/chat/completions"})
 # Plain services carry no tokens; a request counts as much as a short answer.
 _PLAIN_COST_TOKENS = 16
 _DEFAULT_MAX_TOKENS = 256
 _CHARS_PER_TOKEN = 4
+_SERVER_ERROR = 500
 _PRIORITIES = {"interactive": 1, "rollout": 0}
 
 
@@ -79,19 +78,28 @@
 
     def __init__(
         self,
-        stream: AnswerStream,
-        endpoint: RemoteEndpoint,
+        opened: Opened,
         permit: Permit,
         on_close: Callable[["OpenAnswer"], None],
     ):
-        self.status = stream.head.status or 200
-        self.content_type = stream.head.content_type
-        self.stream = stream
-        self._endpoint = endpoint
+        self.stream = opened.stream
+        self.status = self.stream.head.status or 200
+        self.content_type = self.stream.head.content_type
+        self._opened = opened
         self._permit = permit
         self._on_close = on_close
         self._closed = False
 
+    @property
+    def is_normal(self) -> bool:
+        """Whether the endpoint has finished the answer without an error."""
+        last = self.stream.last
+        return (
+            last is not None
+            and last.code == ResultCode.OK
+            and self.status < _SERVER_ERROR
+        )
+
     @property
     def is_whole(self) -> bool:
         """Whether nothing follows the first part."""
@@ -104,15 +112,14 @@
 
     def cut(self, code: ResultCode, reason: str) -> None:
         """Ends the answer early, such as when its key is withdrawn."""
-        self._endpoint.sidecar.cut_stream(self.stream, code, reason)
+        self._opened.endpoint.sidecar.cut_stream(self.stream, code, reason)
 
     def close(self) -> None:
         """Ends the answer; the request is cancelled if it still runs."""
         if self._closed:
             return
         self._closed = True
-        self._endpoint.in_flight -= 1
-        self._endpoint.sidecar.close_stream(self.stream)
+        self._opened.close()
         self._permit.release(self.stream.tokens)
         self._on_close(self)
 
@@ -127,19 +134,24 @@
 
     def __init__(
         self,
-        zone: str,
-        fleet: Fleet,
-        router: Router,
+        attempts: Attempts,
         admission: Admission,
-        retries: RetryPolicy,
         clock: Clock,
+        on_normal_end: Callable[[bytes], None] = lambda _: None,
     ):
-        self._zone = zone
-        self._fleet = fleet
-        self._router = router
+        """Initializes the gateway without a configuration.
+
+        Args:
+          attempts: Runs requests that were admitted.
+          admission: Admits requests.
+          clock: Clock of the process.
+          on_normal_end: Called with the fingerprint of each request that an
+            endpoint finished.
+        """
+        self._attempts = attempts
         self._admission = admission
-        self._retries = retries
         self._clock = clock
+        self._on_normal_end = on_normal_end
         self._catalog = Catalog.empty()
         self._keys = KeyRing(())
         self._answers_by_key: dict[str, set[OpenAnswer]] = {}
@@ -186,25 +198,29 @@
         if isinstance(principal, Failure):
             return principal
         deadline = self._clock.monotonic() + route.service.deadline_s
+        work = _work(request, route, principal, deadline)
+        refusal = self._attempts.refusal(work)
+        if refusal is not None:
+            return refusal
         permit = await self._admission.admit(
-            _ticket(route, principal, request.priority, deadline)
+            _ticket(work, principal, request.priority)
         )
         if isinstance(permit, Failure):
             return permit
         try:
-            opened = await self._attempt(request, route, principal, deadline)
+            opened = await self._attempts.run(work)
         except BaseException:
             permit.release(0)
             raise
         if isinstance(opened, Failure):
             permit.release(0)
             return opened
-        return self._open(*opened, permit, principal)
+        return self._open(opened, work, permit, principal)
 
     def _open(
         self,
-        stream: AnswerStream,
-        endpoint: RemoteEndpoint,
+        opened: Opened,
+        work: Work,
         permit: Permit,
         principal: Principal,
     ) -> OpenAnswer:
@@ -213,13 +229,20 @@
 
         def on_close(answer: OpenAnswer) -> None:
             answers.discard(answer)
+            if answer.is_normal:
+                self._on_normal_end(work.message.fingerprint)
             self.activity.end()
 
-        answer = OpenAnswer(stream, endpoint, permit, on_close)
+        answer = OpenAnswer(opened, permit, on_close)
         answers.add(answer)
         return answer
 
     def _find_route(self, request: CallerRequest) -> Route | Failure:
+        if len(request.body) > MAX_SUBMIT_BYTES:
+            return Failure(
+                ResultCode.BODY_TOO_LARGE,
+                f"A body has at most {MAX_SUBMIT_BYTES} bytes.",
+            )
         if request.path in _COMPLETION_PATHS:
             return self._find_model_route(request)
         for service in self._catalog.services_by_name.values():
@@ -270,71 +293,6 @@
             )
         return Principal(account, key)
 
-    async def _attempt(
-        self,
-        request: CallerRequest,
-        route: Route,
-        principal: Principal,
-        deadline: float,
-    ) -> tuple[AnswerStream, RemoteEndpoint] | Failure:
-        """Sends the request to endpoints until one answers or none may."""
-        self._retries.on_request()
-        message = _message(request, route, principal)
-        excluded: frozenset[str] = frozenset()
-        while True:
-            left = deadline - self._clock.monotonic()
-            outcome = await self._send_once(message, route, excluded, left)
-            if not isinstance(outcome, Failure):
-                return outcome
-            delay = self._retries.delay(
-                outcome.code, route.service.idempotent, message.attempt, left
-            )
-            if delay is None:
-                return outcome
-            excluded |= {message.endpoint}
-            message = message._replace(attempt=message.attempt + 1)
-            await asyncio.sleep(delay)
-
-    async def _send_once(
-        self,
-        message: Request,
-        route: Route,
-        excluded: frozenset[str],
-        left_s: float,
-    ) -> tuple[AnswerStream, RemoteEndpoint] | Failure:
-        endpoints = self._fleet.endpoints(route.service.name)
-        chosen = self._router.choose(
-            [endpoint.candidate() for endpoint in endpoints.values()],
-            RouteQuery(self._zone, excluded=excluded),
-        )
-        if isinstance(chosen, Failure):
-            return chosen
-        endpoint = endpoints[chosen.name]
-        stream = endpoint.sidecar.open_stream(
-            message._replace(
-                endpoint=chosen.name, deadline_ms=max(0, int(left_s * 1000))
-            )
-        )
-        if isinstance(stream, Failure):
-            return stream
-        endpoint.in_flight += 1
-        started: Any = None
-        try:
-            async with asyncio.timeout(left_s):
-                started = await stream.start()
-        except TimeoutError:
-            started = Failure(
-                ResultCode.ENDPOINT_TIMEOUT, "No answer before the deadline."
-            )
-        finally:
-            # Also when the caller has gone and this task is cancelled.
-            if started is None or isinstance(started, Failure):
-                endpoint.in_flight -= 1
-                endpoint.sidecar.close_stream(stream)
-        if isinstance(started, Failure):
-            return started
-        return stream, endpoint
-
 
 def _is_below(path: str, prefix: str) -> bool:
     return path == prefix or path.startswith(prefix.rstrip("/") + "/")
@@ -363,18 +321,33 @@
     return prompt_tokens + route.fields.get("max_tokens", _DEFAULT_MAX_TOKENS)
 
 
-def _ticket(
-    route: Route, principal: Principal, priority: str, deadline: float
-) -> Ticket:
+def _work(
+    request: CallerRequest,
+    route: Route,
+    principal: Principal,
+    deadline: float,
+) -> Work:
+    prompt = route.fields.get("prompt", "")
+    return Work(
+        service=route.service,
+        message=_message(request, route, principal),
+        fields=route.fields,
+        blocks=prompt_blocks(prompt) if isinstance(prompt, str) else (),
+        cost=_cost(route),
+        deadline=deadline,
+    )
+
+
+def _ticket(work: Work, principal: Principal, priority: str) -> Ticket:
     account = principal.account
     return Ticket(
-        service=route.service.name,
+        service=work.service.name,
         account=account.name if account else "",
         weight=account.weight if account else 1.0,
-        cost=_cost(route),
+        cost=work.cost,
         priority=priority,
-        deadline=deadline,
-        max_queue=route.service.max_queue,
+        deadline=work.deadline,
+        max_queue=work.service.max_queue,
         max_concurrency=account.max_concurrency if account else 0,
         tokens_per_second=account.tokens_per_second if account else 0,
     )
--- a/apps/entry/src/shallotstand/entry/main.py
+++ b/apps/entry/src/shallotstand/entry/main.py
@@ -13,15 +13,20 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.core.ids import new_id
+from shallotstand.entry.attempts import Attempts, Policies
+from shallotstand.entry.crashes import CrashDesk
 from shallotstand.entry.gateway import Gateway
 from shallotstand.entry.http_front import make_app
 from shallotstand.entry.settings import TABLE, EntrySettings
+from shallotstand.entry.shares import ShareExchange
 from shallotstand.entry.sidecars import Fleet, FleetListener
-from shallotstand.link.messages import Peer
+from shallotstand.link.messages import Crash, Peer, Release, Share
 from shallotstand.link.node import Identity, Node, PeerConnection
-from shallotstand.serving.first_come import FirstComeAdmission
+from shallotstand.serving.fair_queue import FairAdmission
+from shallotstand.serving.hedging import LatencyHedges
+from shallotstand.serving.prefix_index import DecayingPrefixIndex
+from shallotstand.serving.prefix_routing import PrefixRouter
 from shallotstand.serving.retries import BudgetedRetries
-from shallotstand.serving.routing import LeastLoadedRouter
 from shallotstand.settings.loader import load_or_exit
 
 
@@ -32,17 +37,31 @@
         clock = SystemClock()
         rng = random.Random()
         self.settings = settings
-        self.admission = FirstComeAdmission(clock)
+        self._entries_by_id: dict[str, PeerConnection] = {}
+        self.admission = FairAdmission(clock)
+        self.crashes = CrashDesk(clock)
+        self.shares = ShareExchange(self.admission)
+        index = DecayingPrefixIndex(clock)
         self.fleet = Fleet(
-            FleetListener(self.admission.set_capacity, lambda _: None)
+            FleetListener(
+                self.admission.set_capacity,
+                self.crashes.take_crash,
+                self.crashes.report_lost,
+                self._count_entries,
+                index,
+            )
+        )
+        policies = Policies(
+            PrefixRouter(rng, index),
+            BudgetedRetries(rng),
+            LatencyHedges(),
+            self.crashes.quarantine,
         )
         self.gateway = Gateway(
-            settings.zone,
-            self.fleet,
-            LeastLoadedRouter(rng),
+            Attempts(settings.zone, self.fleet, policies, clock),
             self.admission,
-            BudgetedRetries(rng),
             clock,
+            self.crashes.finish,
         )
         address = settings.peer_listen
         identity = Identity(
@@ -58,7 +77,10 @@
                 address.port,
             ),
         )
-        self.node = Node(identity, self._serve_peer, clock)
+        self.node = Node(
+            identity, self._serve_peer, clock, self.crashes.describe
+        )
+        self.crashes.node = self.shares.node = self.node
 
     @classmethod
     def from_config(cls, settings: EntrySettings) -> "Entry":
@@ -82,9 +104,11 @@
             access_log=False,
         )
         await http_server.startup()
+        sharing = asyncio.create_task(self.shares.run())
         logs.event(logging.INFO, "Started", listen=str(self.settings.listen))
         await stopping.wait()
         await self._drain()
+        sharing.cancel()
         await http_server.close()
         await self.node.close()
         logs.event(logging.INFO, "Stopped")
@@ -94,8 +118,36 @@
         if peer.hello.role == "sidecar":
             await self.fleet.serve(peer)
             return
-        async for _ in peer.messages():
-            pass
+        if peer.hello.role == "entry":
+            self._greet_entry(peer)
+        try:
+            async for message in peer.messages():
+                match message:
+                    case Share():
+                        self.shares.take(peer, message)
+                    case Crash():
+                        self.crashes.take_crash(message)
+                    case Release():
+                        self.crashes.take_release(message)
+        finally:
+            if peer.hello.role == "entry":
+                self._forget_entry(peer)
+
+    def _greet_entry(self, peer: PeerConnection) -> None:
+        self._entries_by_id[peer.hello.process_id] = peer
+        self.crashes.learn(peer.hello)
+        self.shares.greet(peer)
+        self.fleet.on_entries()
+
+    def _forget_entry(self, peer: PeerConnection) -> None:
+        if self._entries_by_id.get(peer.hello.process_id) is peer:
+            del self._entries_by_id[peer.hello.process_id]
+            self.shares.forget(peer)
+        self.fleet.on_entries()
+
+    def _count_entries(self) -> int:
+        """Returns the number of live entries, this one included."""
+        return 1 + len(self._entries_by_id)
 
     async def _drain(self) -> None:
         self.gateway.refusal = Failure(
--- /dev/null
+++ b/apps/entry/src/shallotstand/entry/shares.py
@@ -0,0 +1,58 @@
+"""Tells the other entries what this one serves, and takes their word."""
+
+import asyncio
+
+from shallotstand.link.messages import AccountShare, Share
+from shallotstand.link.node import Node, PeerConnection
+from shallotstand.serving.admission import Admission, ServedTokens
+
+SHARE_INTERVAL_S = 0.2
+
+
+class ShareExchange:
+    """Keeps fairness over all entries.
+
+    Attributes:
+      node: Connections to the peers; set right after construction.
+    """
+
+    node: Node | None = None
+
+    def __init__(self, admission: Admission):
+        self._admission = admission
+        self._told: frozenset[ServedTokens] = frozenset()
+
+    async def run(self) -> None:
+        """Tells what changed every 200 ms, until cancelled."""
+        while True:
+            await asyncio.sleep(SHARE_INTERVAL_S)
+            served = frozenset(self._admission.served())
+            if changed := served - self._told:
+                self.node.broadcast(_share(changed), "entry")
+            self._told = served
+
+    def greet(self, peer: PeerConnection) -> None:
+        """Tells a new peer all totals, from which it counts on."""
+        peer.send(_share(self._admission.served()))
+
+    def take(self, peer: PeerConnection, share: Share) -> None:
+        """Takes another entry's totals."""
+        hello = peer.hello
+        totals = (
+            ServedTokens(row.service, row.account, row.tokens, row.running)
+            for row in share.accounts
+        )
+        self._admission.note_served(hello.process_id, hello.incarnation, totals)
+
+    def forget(self, peer: PeerConnection) -> None:
+        """Forgets what a lost peer ran."""
+        self._admission.forget_peer(peer.hello.process_id)
+
+
+def _share(served: "frozenset[ServedTokens] | tuple[ServedTokens, ...]"):
+    return Share(
+        tuple(
+            AccountShare(row.account, row.tokens, row.service, row.running)
+            for row in served
+        )
+    )
--- a/apps/entry/src/shallotstand/entry/sidecars.py
+++ b/apps/entry/src/shallotstand/entry/sidecars.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.entry.streams import AnswerStream
+from shallotstand.link.codec import MAX_MESSAGE_BYTES
 from shallotstand.link.messages import (
     Cancel,
     Chunks,
@@ -21,8 +22,14 @@
     Submit,
 )
 from shallotstand.link.node import PeerConnection
+from shallotstand.serving.capacity import own_slots
+from shallotstand.serving.prefix_index import PrefixIndex
 from shallotstand.serving.routing import Candidate
 
+# Fields of a request other than its body; paths and ids are short.
+_REQUEST_BYTES = 16 * 1024
+MAX_SUBMIT_BYTES = MAX_MESSAGE_BYTES - 2 * _REQUEST_BYTES
+
 
 class RemoteEndpoint:
     """An endpoint behind a connected sidecar.
@@ -32,6 +39,7 @@
       report: Its last load report.
       in_flight: Requests of this entry that have not ended.
       in_flight_at_report: The same when the last report arrived.
+      incarnation: Run of the engine; empty while unknown.
     """
 
     def __init__(self, info: EndpointInfo, sidecar: "SidecarConnection"):
@@ -40,12 +48,20 @@
         self.report = EndpointLoad(info.name, version=info.version)
         self.in_flight = 0
         self.in_flight_at_report = 0
+        self.incarnation = info.incarnation
 
     def take_report(self, report: EndpointLoad) -> None:
         """Takes a load report."""
         self.report = report
+        self.incarnation = report.incarnation or self.incarnation
         self.in_flight_at_report = self.in_flight
 
+    @property
+    def others_running(self) -> int:
+        """Requests of other entries, by the last report."""
+        reported = self.report.running + self.report.queued
+        return max(0, reported - self.in_flight_at_report)
+
     def candidate(self) -> Candidate:
         """Returns the endpoint as the router sees it."""
         return Candidate(
@@ -73,6 +89,7 @@
         self._link = peer.link
         self._numbers = itertools.count(1)
         self._streams_by_number: dict[int, AnswerStream] = {}
+        self._requests_by_number: dict[int, Request] = {}
         self._unsent: list[Request] = []
 
     @property
@@ -92,32 +109,45 @@
         self._streams_by_number[stream.number] = stream
         if not self._unsent:
             asyncio.get_running_loop().call_soon(self._submit)
-        self._unsent.append(request._replace(stream=stream.number))
+        numbered = request._replace(stream=stream.number)
+        self._unsent.append(numbered)
+        self._requests_by_number[stream.number] = numbered
         return stream
 
     def close_stream(self, stream: AnswerStream) -> None:
         """Ends a stream; the request is cancelled unless it has ended."""
-        open_stream = self._streams_by_number.pop(stream.number, None)
-        if open_stream is not None:
-            self._link.send(Cancel((stream.number,)))
+        if self._forget(stream.number) is not None:
+            self._cancel(stream.number)
 
     def cut_stream(
         self, stream: AnswerStream, code: ResultCode, reason: str
     ) -> None:
         """Ends a stream with a result code and cancels the request."""
-        if self._streams_by_number.pop(stream.number, None) is not None:
-            self._link.send(Cancel((stream.number,)))
+        if self._forget(stream.number) is not None:
+            self._cancel(stream.number)
             stream.put(Frame(stream.number, end=True, code=code, reason=reason))
 
     def _submit(self) -> None:
-        requests, self._unsent = tuple(self._unsent), []
-        if not self._link.send(Submit(requests)):
-            for request in requests:
-                self._end(
-                    request.stream,
-                    ResultCode.NO_ENDPOINT,
-                    "The sidecar has gone.",
-                )
+        requests, self._unsent = self._unsent, []
+        for batch in _batches(requests):
+            if not self._link.send(Submit(batch)):
+                for request in batch:
+                    self._end(
+                        request.stream,
+                        ResultCode.NO_ENDPOINT,
+                        "The sidecar has gone.",
+                    )
+
+    def _cancel(self, number: int) -> None:
+        """Takes back a request, or cancels it if it was sent."""
+        kept = [r for r in self._unsent if r.stream != number]
+        if len(kept) == len(self._unsent):
+            self._link.send(Cancel((number,)))
+        self._unsent = kept
+
+    def _forget(self, number: int) -> AnswerStream | None:
+        self._requests_by_number.pop(number, None)
+        return self._streams_by_number.pop(number, None)
 
     async def read(self, fleet: "Fleet") -> None:
         """Handles the sidecar's messages until the connection ends."""
@@ -136,6 +166,24 @@
                 case Crash():
                     fleet.on_crash(message)
 
+    def crashes(self) -> list[Crash]:
+        """Returns what ran here, for each endpoint, as if all had crashed."""
+        unsent = {request.stream for request in self._unsent}
+        requests_by_endpoint: dict[str, list[Request]] = {}
+        for number, request in self._requests_by_number.items():
+            if number not in unsent and request.fingerprint:
+                running = requests_by_endpoint.setdefault(request.endpoint, [])
+                running.append(request)
+        return [
+            Crash(
+                name,
+                self.endpoints_by_name[name].incarnation,
+                tuple({r.fingerprint for r in requests}),
+                tuple({r.fingerprint for r in requests if r.suspect}),
+            )
+            for name, requests in requests_by_endpoint.items()
+        ]
+
     def end_all(self) -> None:
         """Ends every stream after the connection was lost."""
         for number in list(self._streams_by_number):
@@ -148,17 +196,18 @@
         if stream is None:
             return  # the caller has gone; the sidecar had not heard of it yet
         if frame.end:
-            del self._streams_by_number[frame.stream]
+            self._forget(frame.stream)
         stream.put(frame)
 
     def _take_report(self, report: EndpointLoad, fleet: "Fleet") -> None:
         endpoint = self.endpoints_by_name.get(report.name)
         if endpoint is not None:
             endpoint.take_report(report)
+            fleet.on_report(report)
             fleet.on_capacity(endpoint.info.service)
 
     def _end(self, number: int, code: ResultCode, reason: str) -> None:
-        stream = self._streams_by_number.pop(number, None)
+        stream = self._forget(number)
         if stream is not None:
             stream.put(Frame(number, end=True, code=code, reason=reason))
 
@@ -168,11 +217,17 @@
 
     Attributes:
       capacity: Called as capacity(service, slots).
-      crash: Called as crash(message) with a Crash message.
+      crash: Called as crash(message) with a sidecar's Crash message.
+      lost: Called as lost(message) for each endpoint of a lost sidecar.
+      entries: Returns the number of live entries, this one included.
+      index: Learns what the endpoints' prefix caches hold.
     """
 
     capacity: Callable[[str, int], None]
     crash: Callable[[Crash], None]
+    lost: Callable[[Crash], None] = lambda _: None
+    entries: Callable[[], int] = lambda: 1
+    index: PrefixIndex | None = None
 
 
 class Fleet:
@@ -189,6 +244,9 @@
         self._connections_by_id[hello.process_id] = connection
         try:
             await connection.read(self)
+            # Not when this entry itself stops: the endpoints then go on.
+            for crash in connection.crashes():
+                self._listener.lost(crash)
         finally:
             if self._connections_by_id.get(hello.process_id) is connection:
                 del self._connections_by_id[hello.process_id]
@@ -206,14 +264,55 @@
         }
 
     def on_capacity(self, service: str) -> None:
-        """Tells the listener how many requests a service runs at once."""
-        slots = sum(
-            endpoint.report.slots
+        """Tells the listener how many of a service's slots it may fill."""
+        live = [
+            endpoint
             for endpoint in self.endpoints(service).values()
             if endpoint.report.state == "live"
+        ]
+        slots = own_slots(
+            sum(endpoint.report.slots for endpoint in live),
+            self._listener.entries(),
+            sum(endpoint.others_running for endpoint in live),
         )
         self._listener.capacity(service, slots)
 
+    def on_entries(self) -> None:
+        """Divides the slots anew after an entry came or went."""
+        services = {
+            endpoint.info.service
+            for connection in self._connections_by_id.values()
+            for endpoint in connection.endpoints_by_name.values()
+        }
+        for service in services:
+            self.on_capacity(service)
+
+    def on_report(self, report: EndpointLoad) -> None:
+        """Passes an endpoint's cache events on."""
+        if self._listener.index is not None:
+            self._listener.index.take_events(
+                report.name, report.added, report.evicted
+            )
+
     def on_crash(self, crash: Crash) -> None:
         """Tells the listener that an endpoint ended."""
+        if self._listener.index is not None:
+            self._listener.index.forget(crash.endpoint)
         self._listener.crash(crash)
+
+
+def _batches(requests: list[Request]) -> Iterator[tuple[Request, ...]]:
+    """Splits requests so that no message is over the limit of a link.
+
+    A larger message would cost the link, and with it every answer on it.
+    """
+    batch: list[Request] = []
+    size = 0
+    for request in requests:
+        if batch and size + len(request.body) > MAX_SUBMIT_BYTES:
+            yield tuple(batch)
+            batch, size = [], 0
+        batch.append(request)
+        size += len(request.body) + _REQUEST_BYTES
+    if batch:
+        yield tuple(batch)
--- a/apps/sidecar/src/shallotstand/sidecar/endpoint.py
+++ b/apps/sidecar/src/shallotstand/sidecar/endpoint.py
@@ -1,16 +1,26 @@
 """An endpoint beside the sidecar and what runs on it."""
 
 import asyncio
+import contextlib
+import time
 
 from absl import logging
 from shallotstand.core import logs
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.engine.protocols import Engine, EngineLoad
-from shallotstand.link.messages import EndpointInfo, EndpointLoad, Request
+from shallotstand.link.messages import (
+    Crash,
+    EndpointInfo,
+    EndpointLoad,
+    Request,
+)
 from shallotstand.sidecar.settings import EndpointSettings
 
 LOAD_INTERVAL_S = 0.5
+# A request that was cut ran on the engine when that ended, if the next load
+# report shows so; a report takes at most 2 s.
+CUT_MEMORY_S = 4.0
 SUSPECT_BUSY = Failure(
     ResultCode.SUSPECT_BUSY, "The endpoint already runs a suspect request."
 )
@@ -37,6 +47,8 @@
         self.report = EndpointLoad(settings.name, state="lost")
         self._running_by_key: dict[tuple[str, int], Request] = {}
         self._suspect_running = False
+        self._cut: list[tuple[float, Request]] = []
+        self._look_now = asyncio.Event()
 
     def info(self, zone: str) -> EndpointInfo:
         """Returns what the Hello message tells of the endpoint."""
@@ -64,25 +76,48 @@
         if request.suspect:
             self._suspect_running = False
 
-    def running_fingerprints(self) -> tuple[bytes, ...]:
-        """Returns the fingerprints of the requests in progress."""
-        return tuple(
-            {
-                request.fingerprint
-                for request in self._running_by_key.values()
-                if request.fingerprint
-            }
+    def note_cut(self, request: Request) -> None:
+        """Notes that the engine cut a request's answer.
+
+        When an engine ends, its answers end before its next load report is
+        missed, so the requests are remembered until then.
+        """
+        self._cut.append((time.monotonic(), request))
+        self._look_now.set()
+
+    def _crash(self, incarnation: str) -> Crash:
+        """Returns what ran on the engine when it ended."""
+        since = time.monotonic() - CUT_MEMORY_S
+        cut = [request for at, request in self._cut if at >= since]
+        self._cut = []
+        requests = [
+            request
+            for request in (*self._running_by_key.values(), *cut)
+            if request.fingerprint
+        ]
+        return Crash(
+            self.name,
+            incarnation,
+            tuple({request.fingerprint for request in requests}),
+            tuple({r.fingerprint for r in requests if r.suspect}),
         )
 
-    def take_report(self, report: EngineLoad | Failure) -> bool:
+    def take_report(self, report: EngineLoad | Failure) -> Crash | None:
         """Takes an engine's load report, or that it gave none.
 
         Returns:
-          True if this shows that the engine ended or was restarted.
+          What ran, if this shows that the engine ended or was restarted.
         """
+        before = self.incarnation
+        ended = self._take_report(report)
+        return self._crash(before) if ended else None
+
+    def _take_report(self, report: EngineLoad | Failure) -> bool:
         if isinstance(report, Failure):
             ended = self.report.state == "live"
-            self.report = EndpointLoad(self.name, state="lost")
+            self.report = EndpointLoad(
+                self.name, state="lost", incarnation=self.incarnation
+            )
             return ended
         restarted = self.incarnation not in ("", report.incarnation)
         ended = restarted and self.report.state == "live"
@@ -97,6 +132,7 @@
             state="live",
             added=report.added,
             evicted=report.evicted,
+            incarnation=report.incarnation,
         )
         return ended
 
@@ -104,18 +140,25 @@
         """Asks the engine for its load until cancelled.
 
         Args:
-          on_report: Called as on_report(endpoint, ended) after each answer.
+          on_report: Called as on_report(endpoint, crash) after each answer,
+            with the Crash message if the engine ended.
         """
         while True:
+            self._look_now.clear()
             report = await self.engine.load()
-            before = self.running_fingerprints()
-            ended = self.take_report(report)
-            if ended:
+            crash = self.take_report(report)
+            if crash is not None:
                 logs.event(
                     logging.WARNING,
                     "Endpoint ended",
                     endpoint=self.name,
-                    running=len(before),
+                    running=len(crash.fingerprints),
                 )
-            on_report(self, ended)
-            await asyncio.sleep(LOAD_INTERVAL_S)
+            on_report(self, crash)
+            await self._wait_interval()
+
+    async def _wait_interval(self) -> None:
+        """Waits for the next report, which a cut answer brings forward."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LOAD_INTERVAL_S):
+                await self._look_now.wait()
--- a/apps/sidecar/src/shallotstand/sidecar/peers.py
+++ b/apps/sidecar/src/shallotstand/sidecar/peers.py
@@ -111,15 +111,10 @@
         finally:
             await session.close()
 
-    def on_report(self, endpoint: LocalEndpoint, ended: bool) -> None:
+    def on_report(self, endpoint: LocalEndpoint, crash: Crash | None) -> None:
         """Tells the entries of an endpoint's state."""
         self.node.broadcast(Load((endpoint.report,)), "entry")
-        if ended:
-            crash = Crash(
-                endpoint.name,
-                endpoint.incarnation,
-                endpoint.running_fingerprints(),
-            )
+        if crash is not None:
             self.node.broadcast(crash, "entry")
 
     async def report_usage(self) -> None:
--- a/apps/sidecar/src/shallotstand/sidecar/runner.py
+++ b/apps/sidecar/src/shallotstand/sidecar/runner.py
@@ -70,6 +70,7 @@
         )
         async with endpoint.engine.open(engine_request) as answer:
             if isinstance(answer, Failure):
+                _note_cut(endpoint, request, answer)
                 outbox.end(_failed(request, answer))
             elif answer.status in request.not_run_statuses:
                 outbox.end(_refused(request, answer.status))
@@ -100,6 +101,7 @@
         try:
             async for chunk in answer.chunks():
                 if isinstance(chunk, Failure):
+                    _note_cut(endpoint, request, chunk)
                     outbox.end(_failed(request, chunk))
                     return
                 meter.feed(chunk)
@@ -133,6 +135,7 @@
         async for chunk in answer.chunks():
             if isinstance(chunk, Failure):
                 failure = chunk
+                _note_cut(endpoint, request, failure)
             else:
                 parts.append(chunk)
         stream = b"".join(parts)
@@ -179,6 +182,13 @@
     return orjson.dumps(body)
 
 
+def _note_cut(
+    endpoint: LocalEndpoint, request: Request, failure: Failure
+) -> None:
+    if failure.code == ResultCode.ANSWER_CUT:
+        endpoint.note_cut(request)
+
+
 def _failed(request: Request, failure: Failure) -> Frame:
     return Frame(
         request.stream, end=True, code=failure.code, reason=failure.reason
--- a/apps/standins/src/shallotstand/standins/engine.py
+++ b/apps/standins/src/shallotstand/standins/engine.py
@@ -8,8 +8,7 @@
 from typing import NamedTuple
 
 from shallotstand.core.ids import new_id
-
-BLOCK_CHARS = 64
+from shallotstand.core.prompt_blocks import prompt_blocks
 
 
 class EngineProfile(NamedTuple):
@@ -169,17 +168,6 @@
         return missing * self.profile.prefill_s
 
 
-def prompt_blocks(prompt: str) -> tuple[int, ...]:
-    """Returns a hash for each whole block, which covers all before it."""
-    ends = range(BLOCK_CHARS, len(prompt) + 1, BLOCK_CHARS)
-    return tuple(
-        int.from_bytes(
-            hashlib.blake2b(prompt[:end].encode(), digest_size=8).digest()
-        )
-        for end in ends
-    )
-
-
 def _word(prompt: str, index: int) -> str:
     digest = hashlib.blake2b(f"{index}:{prompt}".encode(), digest_size=3)
     return digest.hexdigest() + " "
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -23,6 +23,11 @@
   port @4 :UInt16;
 }
 
+struct QuarantinedRequest {
+  fingerprint @0 :Data;
+  leftMs @1 :UInt32;
+}
+
 struct Hello {
   processId @0 :Text;
   role @1 :Text;
@@ -32,6 +37,7 @@
   roster @5 :List(Peer);
   endpoints @6 :List(EndpointInfo);
   suspects @7 :List(Data);
+  quarantined @8 :List(QuarantinedRequest);
 }
 
 struct Ping {
@@ -102,6 +108,7 @@
   state @6 :Text;
   added @7 :List(UInt64);
   evicted @8 :List(UInt64);
+  incarnation @9 :Text;
 }
 
 struct Load {
@@ -112,6 +119,11 @@
   endpoint @0 :Text;
   incarnation @1 :Text;
   fingerprints @2 :List(Data);
+  suspects @3 :List(Data);
+}
+
+struct Release {
+  fingerprints @0 :List(Data);
 }
 
 struct Config {
@@ -172,6 +184,8 @@
 struct AccountShare {
   account @0 :Text;
   tokens @1 :UInt64;
+  service @2 :Text;
+  running @3 :UInt32;
 }
 
 struct Share {
@@ -197,5 +211,6 @@
     usageAck @14 :UsageAck;
     share @15 :Share;
     chunks @16 :Chunks;
+    release @17 :Release;
   }
 }
--- a/libs/link/src/shallotstand/link/messages.py
+++ b/libs/link/src/shallotstand/link/messages.py
@@ -39,6 +39,18 @@
     port: int
 
 
+class QuarantinedRequest(NamedTuple):
+    """A request that is refused.
+
+    Attributes:
+      fingerprint: Hash of what the request asks for.
+      left_ms: Milliseconds until it is let in again.
+    """
+
+    fingerprint: bytes
+    left_ms: int
+
+
 class Hello(NamedTuple):
     """First message on a connection, sent by both sides.
 
@@ -51,6 +63,7 @@
       roster: Entries and controllers that it knows.
       endpoints: Endpoints that it serves; empty unless it is a sidecar.
       suspects: Fingerprints that ran on an endpoint when that crashed.
+      quarantined: Requests that an entry refuses.
     """
 
     process_id: str
@@ -61,6 +74,7 @@
     roster: tuple[Peer, ...] = ()
     endpoints: tuple[EndpointInfo, ...] = ()
     suspects: tuple[bytes, ...] = ()
+    quarantined: tuple[QuarantinedRequest, ...] = ()
 
 
 class Ping(NamedTuple):
@@ -191,6 +205,7 @@
       state: `live`, `leaving` or `lost`.
       added: Hashes of prompt blocks that entered the prefix cache.
       evicted: Hashes of prompt blocks that left it.
+      incarnation: Run of the engine; empty while unknown.
     """
 
     name: str
@@ -202,6 +217,7 @@
     state: str = "live"
     added: tuple[int, ...] = ()
     evicted: tuple[int, ...] = ()
+    incarnation: str = ""
 
 
 class Load(NamedTuple):
@@ -211,11 +227,25 @@
 
 
 class Crash(NamedTuple):
-    """An endpoint ended while it ran requests with these fingerprints."""
+    """An endpoint ended while it ran requests.
+
+    Attributes:
+      endpoint: Name of the endpoint.
+      incarnation: The run of the engine that ended.
+      fingerprints: Requests that were running.
+      suspects: Those of them that ran as the only suspect there.
+    """
 
     endpoint: str
     incarnation: str
     fingerprints: tuple[bytes, ...]
+    suspects: tuple[bytes, ...] = ()
+
+
+class Release(NamedTuple):
+    """Requests that are no longer suspects nor quarantined."""
+
+    fingerprints: tuple[bytes, ...]
 
 
 class Config(NamedTuple):
@@ -319,10 +349,19 @@
 
 
 class AccountShare(NamedTuple):
-    """Tokens served for a client account since the sender started."""
+    """What the sender serves for a client account.
+
+    Attributes:
+      account: Name of the client account.
+      tokens: Tokens served since the sender started.
+      service: Name of the service.
+      running: Requests in progress.
+    """
 
     account: str
     tokens: int
+    service: str = ""
+    running: int = 0
 
 
 class Share(NamedTuple):
@@ -349,4 +388,5 @@
     | UsageAck
     | Share
     | Chunks
+    | Release
 )
--- a/libs/serving/src/shallotstand/serving/admission.py
+++ b/libs/serving/src/shallotstand/serving/admission.py
@@ -1,5 +1,6 @@
 """Decides when a request of a client account may go to an endpoint."""
 
+from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
 from shallotstand.core.failure import Failure
@@ -31,6 +32,22 @@
     tokens_per_second: float
 
 
+class ServedTokens(NamedTuple):
+    """What an entry serves for a client account.
+
+    Attributes:
+      service: Name of the service.
+      account: Name of the client account.
+      tokens: Tokens served since the entry started.
+      running: Requests in progress.
+    """
+
+    service: str
+    account: str
+    tokens: int
+    running: int
+
+
 class Permit(Protocol):
     """Permission to run one request."""
 
@@ -62,3 +79,23 @@
     def set_capacity(self, service: str, slots: int) -> None:
         """Tells how many requests the service's endpoints run at once."""
         ...
+
+    def served(self) -> tuple[ServedTokens, ...]:
+        """Returns what this entry has served, for the other entries."""
+        ...
+
+    def note_served(
+        self, peer: str, incarnation: str, totals: Iterable[ServedTokens]
+    ) -> None:
+        """Takes another entry's totals.
+
+        Args:
+          peer: Process id of the entry.
+          incarnation: Its run; totals count from the start of a run.
+          totals: What it served; accounts that are missing are unchanged.
+        """
+        ...
+
+    def forget_peer(self, peer: str) -> None:
+        """Forgets what a lost entry ran, so that its loss frees its share."""
+        ...
--- /dev/null
+++ b/libs/serving/src/shallotstand/serving/fair_queue.py
@@ -0,0 +1,390 @@
+"""Start-time fair queueing of requests among client accounts.
+
+Each (service, client account) is a flow with a virtual time: the tokens that
+it was served, divided by its weight. A free slot goes to the waiting flow with
+the smallest one. A flow that was idle starts at the service's virtual time,
+so it neither saves up nor owes anything for its absence.
+
+Interactive before rollouts: an account with an interactive request waiting
+goes before accounts that have only rollouts waiting while its virtual time is
+less than `INTERACTIVE_LEAD_S` of the service's speed ahead; beyond that lead
+it has used its entitlement and takes its ordinary turn. Within one account
+interactive requests go first, but while rollouts wait they get
+`ROLLOUT_RATIO` of the account's tokens.
+"""
+
+import asyncio
+import itertools
+from collections import deque
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from shallotstand.core.clock import Clock
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.serving.admission import Permit, ServedTokens, Ticket
+from shallotstand.serving.rates import DrainRate, TokenBucket
+
+INTERACTIVE_LEAD_S = 0.5
+ROLLOUT_RATIO = 0.25
+# What other entries served counts here up to this much of the service's speed.
+# More would lock out an account that used capacity nobody else wanted.
+REMOTE_LEAD_S = 2.0
+# The same while the speed is not known.
+_REMOTE_LEAD_TOKENS = 20_000.0
+_CLASSES = ("interactive", "rollout")
+
+
+class _Waiter(NamedTuple):
+    """A request in a queue."""
+
+    ticket: Ticket
+    turn: asyncio.Future[None]
+
+
+class _Account:
+    """Limits of a client account, which hold for all services together."""
+
+    def __init__(self) -> None:
+        self.running = 0
+        self.remote_running_by_peer: dict[str, int] = {}
+        self.bucket: TokenBucket | None = None
+
+    def may_start(self, limit: int) -> bool:
+        """Says whether one more request is within the concurrency limit."""
+        remote = sum(self.remote_running_by_peer.values())
+        # An entry that runs nothing of the account may always start one, or
+        # other entries could keep a client of this one out.
+        return limit == 0 or self.running == 0 or self.running + remote < limit
+
+
+class _Flow:
+    """Requests of one client account for one service."""
+
+    def __init__(self, account: _Account) -> None:
+        self.account = account
+        self.weight = 1.0
+        self.virtual = 0.0
+        self.served = 0
+        self.running = 0
+        self.rollout_credit = 0.0
+        self.queues_by_class: dict[str, deque[_Waiter]] = {
+            name: deque() for name in _CLASSES
+        }
+
+    @property
+    def waiting(self) -> int:
+        """Number of requests in the queues."""
+        return sum(map(len, self.queues_by_class.values()))
+
+    @property
+    def waiting_tokens(self) -> float:
+        """Expected tokens of the requests in the queues."""
+        queues = self.queues_by_class.values()
+        return sum(w.ticket.cost for w in itertools.chain(*queues))
+
+    @property
+    def next_class(self) -> str:
+        """Class whose first request is next within the account."""
+        interactive, rollout = (self.queues_by_class[c] for c in _CLASSES)
+        if not interactive:
+            return "rollout"
+        if rollout and self.rollout_credit >= rollout[0].ticket.cost:
+            return "rollout"
+        return "interactive"
+
+    def can_start(self) -> bool:
+        """Says whether a request waits that the limits let run."""
+        if not self.waiting:
+            return False
+        head = self.queues_by_class[self.next_class][0]
+        return self.account.may_start(head.ticket.max_concurrency)
+
+    def take(self) -> _Waiter:
+        """Takes the next request out of its queue."""
+        name = self.next_class
+        waiter = self.queues_by_class[name].popleft()
+        cost = waiter.ticket.cost
+        if name == "rollout":
+            self.rollout_credit = max(0.0, self.rollout_credit - cost)
+        elif self.queues_by_class["rollout"]:
+            self.rollout_credit += cost * ROLLOUT_RATIO / (1 - ROLLOUT_RATIO)
+        return waiter
+
+
+class _ServiceQueue:
+    """Flows of one service and the slots that they share."""
+
+    def __init__(self) -> None:
+        self.slots = 0
+        self.running = 0
+        self.virtual = 0.0
+        self.rate = DrainRate()
+        self.flows_by_account: dict[str, _Flow] = {}
+
+    @property
+    def speed(self) -> float | None:
+        """Tokens a second of all slots; None while unknown."""
+        return self.rate.tokens_per_second(self.slots)
+
+    def next_flow(self) -> _Flow | None:
+        """Returns the flow whose turn it is."""
+        ready = [f for f in self.flows_by_account.values() if f.can_start()]
+        if not ready:
+            return None
+        lead = INTERACTIVE_LEAD_S * (self.speed or 0.0)
+        lead /= sum(flow.weight for flow in ready)
+        return min(
+            ready,
+            key=lambda flow: (
+                flow.virtual - lead
+                if flow.next_class == "interactive"
+                else flow.virtual
+            ),
+        )
+
+    def start(self, flow: _Flow, ticket: Ticket) -> None:
+        """Charges a flow for a request that starts."""
+        self.virtual = max(self.virtual, flow.virtual)
+        flow.virtual += ticket.cost / flow.weight
+        flow.running += 1
+        flow.account.running += 1
+        self.running += 1
+
+    def finish(self, flow: _Flow, ticket: Ticket, tokens: float) -> None:
+        """Corrects the charge to what was used and frees the slot."""
+        flow.virtual += (tokens - ticket.cost) / flow.weight
+        flow.running -= 1
+        flow.account.running -= 1
+        self.running -= 1
+        if flow.account.bucket is not None:
+            flow.account.bucket.take(tokens - ticket.cost)
+
+    def expected_time(self, flow: _Flow, ticket: Ticket) -> float:
+        """Returns the seconds until the request's end; 0 while unknown.
+
+        Before it run the account's own requests and, of each other account,
+        what its weight entitles it to meanwhile.
+        """
+        speed = self.speed
+        if not speed or self.running < self.slots:
+            return 0.0
+        own = sum(w.ticket.cost for w in flow.queues_by_class["interactive"])
+        if ticket.priority == "rollout":
+            own = flow.waiting_tokens
+        ahead = own + sum(
+            min(
+                other.waiting_tokens,
+                (own + ticket.cost) * other.weight / flow.weight,
+            )
+            for other in self.flows_by_account.values()
+            if other is not flow
+        )
+        run_s = ticket.cost * self.slots / speed
+        return ahead / speed + run_s
+
+
+class _FairPermit:
+    """One slot of a service."""
+
+    def __init__(
+        self, admission: "FairAdmission", flow: _Flow, ticket: Ticket
+    ) -> None:
+        self._admission = admission
+        self._flow = flow
+        self._ticket = ticket
+        self._started = admission.now()
+        self._open = True
+
+    def release(self, tokens: int) -> None:
+        """Frees the slot; a second call does nothing."""
+        if self._open:
+            self._open = False
+            self._admission.finish(
+                self._flow, self._ticket, tokens, self._started
+            )
+
+
+class FairAdmission:
+    """Admits requests so that client accounts get tokens by their weights."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._queues_by_service: dict[str, _ServiceQueue] = {}
+        self._accounts_by_name: dict[str, _Account] = {}
+        self._served_by_peer: dict[str, dict[tuple[str, str], int]] = {}
+        self._incarnation_by_peer: dict[str, str] = {}
+
+    def now(self) -> float:
+        """Returns the monotonic time in seconds."""
+        return self._clock.monotonic()
+
+    def set_capacity(self, service: str, slots: int) -> None:
+        """Tells how many requests the service's endpoints run at once."""
+        queue = self._queue(service)
+        queue.slots = slots
+        self._wake(queue)
+
+    async def admit(self, ticket: Ticket) -> Permit | Failure:
+        """Waits for the request's turn."""
+        queue = self._queue(ticket.service)
+        flow = self._flow(queue, ticket)
+        refusal = self._refusal(queue, flow, ticket)
+        if refusal is not None:
+            return refusal
+        if not flow.waiting:
+            flow.virtual = max(flow.virtual, queue.virtual)
+        if flow.account.bucket is not None:
+            flow.account.bucket.take(ticket.cost)
+        turn = asyncio.get_running_loop().create_future()
+        waiter = _Waiter(ticket, turn)
+        flow.queues_by_class[ticket.priority].append(waiter)
+        self._wake(queue)
+        try:
+            async with asyncio.timeout(ticket.deadline - self.now()):
+                await turn
+        except TimeoutError:
+            self._abandon(queue, flow, waiter)
+            return Failure(ResultCode.DEADLINE_PASSED, "No turn in time.")
+        except asyncio.CancelledError:
+            self._abandon(queue, flow, waiter)
+            raise
+        return _FairPermit(self, flow, ticket)
+
+    def finish(
+        self, flow: _Flow, ticket: Ticket, tokens: int, started: float
+    ) -> None:
+        """Ends a permit; called by the permit only."""
+        queue = self._queue(ticket.service)
+        queue.finish(flow, ticket, tokens)
+        flow.served += tokens
+        if tokens > 0:
+            # In expected tokens, as the queues are counted in them too.
+            queue.rate.add(ticket.cost, self.now() - started)
+        self._wake_all()
+
+    def served(self) -> tuple[ServedTokens, ...]:
+        """Returns what this entry has served, for the other entries."""
+        return tuple(
+            ServedTokens(service, account, flow.served, flow.running)
+            for service, queue in self._queues_by_service.items()
+            for account, flow in queue.flows_by_account.items()
+            if flow.served or flow.running
+        )
+
+    def note_served(
+        self, peer: str, incarnation: str, totals: Iterable[ServedTokens]
+    ) -> None:
+        """Takes another entry's totals.
+
+        Totals count from the peer's start, so a lost message is made up for
+        by the next. The first totals of an incarnation only set the base.
+        """
+        known = self._incarnation_by_peer.get(peer) == incarnation
+        if not known:
+            self._served_by_peer.pop(peer, None)
+            self.forget_peer(peer)
+        self._incarnation_by_peer[peer] = incarnation
+        served = self._served_by_peer.setdefault(peer, {})
+        running_by_account: dict[str, int] = {}
+        for total in totals:
+            before = served.get((total.service, total.account), 0)
+            served[total.service, total.account] = total.tokens
+            if known and total.tokens > before:
+                self._charge_remote(total, total.tokens - before)
+            running = running_by_account.get(total.account, 0)
+            running_by_account[total.account] = running + total.running
+        for name, count in running_by_account.items():
+            account = self._accounts_by_name.setdefault(name, _Account())
+            account.remote_running_by_peer[peer] = count
+        self._wake_all()
+
+    def forget_peer(self, peer: str) -> None:
+        """Forgets what a lost entry ran, so that its loss frees its share.
+
+        Its totals are kept: the same incarnation may connect again.
+        """
+        for account in self._accounts_by_name.values():
+            account.remote_running_by_peer.pop(peer, None)
+        self._wake_all()
+
+    def _charge_remote(self, total: ServedTokens, tokens: int) -> None:
+        account = self._accounts_by_name.get(total.account)
+        if account is not None and account.bucket is not None:
+            account.bucket.take(tokens)
+        queue = self._queue(total.service)
+        flow = queue.flows_by_account.get(total.account)
+        if flow is None:
+            return  # no weight is known before the first own request
+        base = max(flow.virtual, queue.virtual)
+        lead = REMOTE_LEAD_S * (queue.speed or 0.0) or _REMOTE_LEAD_TOKENS
+        limit = max(base, queue.virtual + lead / flow.weight)
+        flow.virtual = min(base + tokens / flow.weight, limit)
+
+    def _refusal(
+        self, queue: _ServiceQueue, flow: _Flow, ticket: Ticket
+    ) -> Failure | None:
+        if flow.waiting >= ticket.max_queue:
+            return Failure(ResultCode.QUEUE_FULL, "The queue is full.")
+        now = self.now()
+        if ticket.deadline <= now:
+            return Failure(ResultCode.DEADLINE_PASSED, "No time is left.")
+        bucket = flow.account.bucket
+        if bucket is not None and not bucket.has_tokens(now):
+            return Failure(ResultCode.RATE_LIMITED, "Over the token rate.")
+        if now + queue.expected_time(flow, ticket) > ticket.deadline:
+            return Failure(
+                ResultCode.DEADLINE_UNREACHABLE,
+                "The queue is too long for the deadline.",
+            )
+        return None
+
+    def _abandon(
+        self, queue: _ServiceQueue, flow: _Flow, waiter: _Waiter
+    ) -> None:
+        """Takes back a request whose wait ended without a permit."""
+        line = flow.queues_by_class[waiter.ticket.priority]
+        if waiter in line:
+            line.remove(waiter)
+            if flow.account.bucket is not None:
+                flow.account.bucket.take(-waiter.ticket.cost)
+        else:
+            # Its turn had come just before the wait was cancelled.
+            queue.finish(flow, waiter.ticket, 0)
+        self._wake_all()
+
+    def _wake_all(self) -> None:
+        # A concurrency limit spans services, so any of them may go on.
+        for queue in self._queues_by_service.values():
+            self._wake(queue)
+
+    def _wake(self, queue: _ServiceQueue) -> None:
+        while queue.running < queue.slots:
+            flow = queue.next_flow()
+            if flow is None:
+                return
+            waiter = flow.take()
+            queue.start(flow, waiter.ticket)
+            if waiter.turn.done():
+                queue.finish(flow, waiter.ticket, 0)
+            else:
+                waiter.turn.set_result(None)
+
+    def _flow(self, queue: _ServiceQueue, ticket: Ticket) -> _Flow:
+        account = self._accounts_by_name.setdefault(ticket.account, _Account())
+        flow = queue.flows_by_account.get(ticket.account)
+        if flow is None:
+            flow = queue.flows_by_account[ticket.account] = _Flow(account)
+            flow.virtual = queue.virtual
+        flow.weight = max(ticket.weight, 1e-6)
+        rate = ticket.tokens_per_second
+        if rate <= 0:
+            account.bucket = None
+        elif account.bucket is None:
+            account.bucket = TokenBucket(rate, self.now())
+        else:
+            account.bucket.set_rate(rate)
+        return flow
+
+    def _queue(self, service: str) -> _ServiceQueue:
+        return self._queues_by_service.setdefault(service, _ServiceQueue())
--- a/libs/serving/src/shallotstand/serving/first_come.py
+++ b/libs/serving/src/shallotstand/serving/first_come.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Iterable
 
 from shallotstand.core.clock import Clock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
-from shallotstand.serving.admission import Permit, Ticket
+from shallotstand.serving.admission import Permit, ServedTokens, Ticket
 
 
 class _ServiceQueue:
@@ -25,6 +26,15 @@
                 self.running += 1
                 turn.set_result(None)
 
+    def abandon(self, turn: asyncio.Future[None]) -> None:
+        """Takes back a request whose wait ended without a permit."""
+        if turn in self.waiting:
+            self.waiting.remove(turn)
+        elif turn.done() and not turn.cancelled():
+            # Its turn had come just before the wait was cancelled.
+            self.running -= 1
+            self.wake()
+
 
 class _SlotPermit:
     """One slot of a service."""
@@ -64,8 +74,24 @@
             async with asyncio.timeout(left_s):
                 await turn
         except TimeoutError:
+            queue.abandon(turn)
             return Failure(ResultCode.DEADLINE_PASSED, "No turn in time.")
+        except asyncio.CancelledError:
+            queue.abandon(turn)
+            raise
         return _SlotPermit(queue)
 
+    def served(self) -> tuple[ServedTokens, ...]:
+        """Returns nothing: the order of arrival needs no shares."""
+        return ()
+
+    def note_served(
+        self, peer: str, incarnation: str, totals: Iterable[ServedTokens]
+    ) -> None:
+        """Does nothing: the order of arrival needs no shares."""
+
+    def forget_peer(self, peer: str) -> None:
+        """Does nothing: the order of arrival needs no shares."""
+
     def _queue(self, service: str) -> _ServiceQueue:
         return self._queues_by_service.setdefault(service, _ServiceQueue())
--- a/libs/serving/src/shallotstand/serving/retries.py
+++ b/libs/serving/src/shallotstand/serving/retries.py
@@ -1,9 +1,11 @@
 """Decides whether and when a failed request is sent again."""
 
 import random
+from collections.abc import Sequence
 from typing import Protocol
 
 from shallotstand.core.codes import ResultCode, is_not_run
+from shallotstand.core.failure import Failure
 
 # Codes of sidecars and endpoints after which another endpoint may do better.
 _RETRYABLE_NOT_RUN = frozenset(
@@ -22,6 +24,8 @@
         ResultCode.ENDPOINT_ERROR,
     }
 )
+# After these the endpoint may have ended because of the request.
+_POSSIBLE_CRASH = frozenset({ResultCode.ANSWER_CUT, ResultCode.LINK_LOST})
 
 
 class RetryPolicy(Protocol):
@@ -57,6 +61,7 @@
 
     MAX_ATTEMPTS = 4
     BASE_DELAY_S = 0.02
+    MAX_DELAY_S = 1.0
     BUDGET_RATIO = 0.1
     # Lets a quiet entry retry at all.
     BUDGET_MINIMUM = 10.0
@@ -75,17 +80,40 @@
         self, code: ResultCode, idempotent: bool, attempt: int, left_s: float
     ) -> float | None:
         """Returns the seconds to wait before the next attempt."""
-        if not _may_repeat(code, idempotent) or attempt >= self.MAX_ATTEMPTS:
+        if not may_repeat(code, idempotent):
             return None
-        wait = self.BASE_DELAY_S * 2 ** (attempt - 1)
+        wait = min(self.BASE_DELAY_S * 2 ** (attempt - 1), self.MAX_DELAY_S)
         wait *= self._rng.uniform(0.5, 1.5)
-        if wait >= left_s or self._budget < 1:
+        if wait >= left_s:
+            return None
+        if code == ResultCode.SUSPECT_BUSY:
+            # A suspect waits for another one to end, which can take as long
+            # as an answer; asking again loads no endpoint.
+            return wait
+        if attempt >= self.MAX_ATTEMPTS or self._budget < 1:
             return None
         self._budget -= 1
         return wait
 
 
-def _may_repeat(code: ResultCode, idempotent: bool) -> bool:
+def may_repeat(code: ResultCode, idempotent: bool) -> bool:
+    """Says whether a request that failed like this may be sent again."""
     if is_not_run(code):
         return code in _RETRYABLE_NOT_RUN
     return idempotent and code in _RETRYABLE_UNKNOWN
+
+
+def may_have_crashed(code: ResultCode) -> bool:
+    """Says whether the request may have ended the endpoint that ran it."""
+    return code in _POSSIBLE_CRASH
+
+
+def reported_failure(failures: Sequence[Failure]) -> Failure:
+    """Returns what the caller is told after these attempts failed.
+
+    The last one, unless it says "not run" and an earlier attempt may have run.
+    """
+    last = failures[-1]
+    if not is_not_run(last.code):
+        return last
+    return next((f for f in reversed(failures) if not is_not_run(f.code)), last)
--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -9,6 +9,7 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.engine.http import HttpEngine
+from shallotstand.entry.attempts import Attempts, Policies
 from shallotstand.entry.gateway import CallerRequest, Gateway
 from shallotstand.entry.sidecars import Fleet, FleetListener
 from shallotstand.link.messages import Peer
@@ -22,6 +23,8 @@
     Service,
 )
 from shallotstand.serving.first_come import FirstComeAdmission
+from shallotstand.serving.hedging import NoHedges
+from shallotstand.serving.quarantine import Quarantine
 from shallotstand.serving.retries import BudgetedRetries
 from shallotstand.serving.routing import LeastLoadedRouter
 from shallotstand.sidecar.endpoint import LocalEndpoint
@@ -75,13 +78,14 @@
     admission = FirstComeAdmission(clock)
     fleet = Fleet(FleetListener(admission.set_capacity, lambda _: None))
     rng = random.Random(1)
-    gateway = Gateway(
-        "peak-a",
-        fleet,
+    policies = Policies(
         LeastLoadedRouter(rng),
-        admission,
         BudgetedRetries(rng),
-        clock,
+        NoHedges(),
+        Quarantine(clock),
+    )
+    gateway = Gateway(
+        Attempts("peak-a", fleet, policies, clock), admission, clock
     )
     address = Peer("entry-1", "entry", "peak-a", "127.0.0.1", peer_port)
     entry_node = Node(
