Measure the entry's decisions and test their failures

Cause: nothing showed that admission, routing, quarantine and retries hold under floods, lost messages and lost sidecars. The first runs found faults: the codec refused ResultCode values, so each failing answer ended the sidecar's sender task; accounts of one entry got less than their entitlement beside a flood at another entry; a wrong first estimate shut an account out.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(sort $(wildcard libs/*/pyproject.toml apps/*/pyproject.toml))
 INSTALLED := $(VENV)/.installed
 
-.PHONY: install test lint format demo clean
+.PHONY: install test lint format demo measure clean
 
 install: $(INSTALLED)
 
@@ -30,5 +30,8 @@
 demo: install
 	$(BIN)/python -m shallotstand.standins.demo
 
+measure: install
+	$(BIN)/python -m measure
+
 clean:
 	rm -rf $(VENV)
--- a/apps/entry/src/shallotstand/entry/attempts.py
+++ b/apps/entry/src/shallotstand/entry/attempts.py
@@ -13,7 +13,10 @@
 from shallotstand.objects.types import Service
 from shallotstand.serving import resume
 from shallotstand.serving.hedging import HedgeKind, HedgePolicy
-from shallotstand.serving.quarantine import Quarantine
+from shallotstand.serving.quarantine import (
+    CRASHES_TO_QUARANTINE,
+    Quarantine,
+)
 from shallotstand.serving.retries import (
     RetryPolicy,
     may_have_crashed,
@@ -187,6 +190,10 @@
             if not isinstance(outcome, Failure):
                 return self._finished(outcome)
             self._failures.append(outcome)
+            if self._count_crashes() >= CRASHES_TO_QUARANTINE:
+                # The Crash message that quarantines the request may still be
+                # on its way; a third endpoint must not be lost meanwhile.
+                return reported_failure(self._failures)
             delay = self._attempts.retry_delay(
                 outcome, self._work, self._count_like(outcome)
             )
@@ -194,6 +201,10 @@
                 return reported_failure(self._failures)
             await asyncio.sleep(delay)
 
+    def _count_crashes(self) -> int:
+        """Returns how many endpoints the request may have ended."""
+        return sum(may_have_crashed(f.code) for f in self._failures)
+
     def _count_like(self, failure: Failure) -> int:
         """Returns how many attempts count for the delay after a failure.
 
@@ -221,10 +232,10 @@
     def _open(self, excluded: frozenset[str]) -> Opened | Failure:
         # After a cut the request may be what ended the endpoint, though the
         # Crash message that says so comes later than this attempt.
-        crashed = any(may_have_crashed(f.code) for f in self._failures)
         message = self._message._replace(
             attempt=self._sent + 1,
-            suspect=crashed or self._attempts.is_suspect(self._work),
+            suspect=self._count_crashes() > 0
+            or self._attempts.is_suspect(self._work),
         )
         opened = self._attempts.open(self._work, message, excluded)
         if not isinstance(opened, Failure):
--- a/apps/entry/src/shallotstand/entry/main.py
+++ b/apps/entry/src/shallotstand/entry/main.py
@@ -37,7 +37,6 @@
         clock = SystemClock()
         rng = random.Random()
         self.settings = settings
-        self._entries_by_id: dict[str, PeerConnection] = {}
         self.admission = FairAdmission(clock)
         self.crashes = CrashDesk(clock)
         self.shares = ShareExchange(self.admission)
@@ -47,7 +46,6 @@
                 self.admission.set_capacity,
                 self.crashes.take_crash,
                 self.crashes.report_lost,
-                self._count_entries,
                 index,
             )
         )
@@ -119,7 +117,8 @@
             await self.fleet.serve(peer)
             return
         if peer.hello.role == "entry":
-            self._greet_entry(peer)
+            self.crashes.learn(peer.hello)
+            self.shares.greet(peer)
         try:
             async for message in peer.messages():
                 match message:
@@ -131,23 +130,7 @@
                         self.crashes.take_release(message)
         finally:
             if peer.hello.role == "entry":
-                self._forget_entry(peer)
-
-    def _greet_entry(self, peer: PeerConnection) -> None:
-        self._entries_by_id[peer.hello.process_id] = peer
-        self.crashes.learn(peer.hello)
-        self.shares.greet(peer)
-        self.fleet.on_entries()
-
-    def _forget_entry(self, peer: PeerConnection) -> None:
-        if self._entries_by_id.get(peer.hello.process_id) is peer:
-            del self._entries_by_id[peer.hello.process_id]
-            self.shares.forget(peer)
-        self.fleet.on_entries()
-
-    def _count_entries(self) -> int:
-        """Returns the number of live entries, this one included."""
-        return 1 + len(self._entries_by_id)
+                self.shares.forget(peer)
 
     async def _drain(self) -> None:
         self.gateway.refusal = Failure(
--- a/apps/entry/src/shallotstand/entry/shares.py
+++ b/apps/entry/src/shallotstand/entry/shares.py
@@ -1,6 +1,7 @@
 """Tells the other entries what this one serves, and takes their word."""
 
 import asyncio
+from collections.abc import Iterable
 
 from shallotstand.link.messages import AccountShare, Share
 from shallotstand.link.node import Node, PeerConnection
@@ -20,39 +21,69 @@
 
     def __init__(self, admission: Admission):
         self._admission = admission
+        self._peers_by_id: dict[str, PeerConnection] = {}
         self._told: frozenset[ServedTokens] = frozenset()
 
     async def run(self) -> None:
         """Tells what changed every 200 ms, until cancelled."""
         while True:
             await asyncio.sleep(SHARE_INTERVAL_S)
+            self._forget_silent()
             served = frozenset(self._admission.served())
             if changed := served - self._told:
                 self.node.broadcast(_share(changed), "entry")
             self._told = served
 
+    def _forget_silent(self) -> None:
+        """Leaves the slots of peers that miss their pings to the rest.
+
+        Their connections are closed only later; a peer that was only slow is
+        counted again with its next message.
+        """
+        for process_id, peer in self._peers_by_id.items():
+            if peer.is_silent:
+                self._admission.forget_peer(process_id)
+
     def greet(self, peer: PeerConnection) -> None:
         """Tells a new peer all totals, from which it counts on."""
+        self._peers_by_id[peer.hello.process_id] = peer
         peer.send(_share(self._admission.served()))
 
     def take(self, peer: PeerConnection, share: Share) -> None:
         """Takes another entry's totals."""
         hello = peer.hello
         totals = (
-            ServedTokens(row.service, row.account, row.tokens, row.running)
+            ServedTokens(
+                row.service,
+                row.account,
+                row.tokens,
+                row.running,
+                row.waiting,
+                row.weight,
+            )
             for row in share.accounts
         )
         self._admission.note_served(hello.process_id, hello.incarnation, totals)
 
     def forget(self, peer: PeerConnection) -> None:
-        """Forgets what a lost peer ran."""
-        self._admission.forget_peer(peer.hello.process_id)
+        """Forgets what a lost peer ran, unless it has connected again."""
+        process_id = peer.hello.process_id
+        if self._peers_by_id.get(process_id) is peer:
+            del self._peers_by_id[process_id]
+            self._admission.forget_peer(process_id)
 
 
-def _share(served: "frozenset[ServedTokens] | tuple[ServedTokens, ...]"):
+def _share(served: Iterable[ServedTokens]) -> Share:
     return Share(
         tuple(
-            AccountShare(row.account, row.tokens, row.service, row.running)
+            AccountShare(
+                row.account,
+                row.tokens,
+                row.service,
+                row.running,
+                row.waiting,
+                row.weight,
+            )
             for row in served
         )
     )
--- a/apps/entry/src/shallotstand/entry/sidecars.py
+++ b/apps/entry/src/shallotstand/entry/sidecars.py
@@ -22,7 +22,6 @@
     Submit,
 )
 from shallotstand.link.node import PeerConnection
-from shallotstand.serving.capacity import own_slots
 from shallotstand.serving.prefix_index import PrefixIndex
 from shallotstand.serving.routing import Candidate
 
@@ -56,12 +55,6 @@
         self.incarnation = report.incarnation or self.incarnation
         self.in_flight_at_report = self.in_flight
 
-    @property
-    def others_running(self) -> int:
-        """Requests of other entries, by the last report."""
-        reported = self.report.running + self.report.queued
-        return max(0, reported - self.in_flight_at_report)
-
     def candidate(self) -> Candidate:
         """Returns the endpoint as the router sees it."""
         return Candidate(
@@ -219,14 +212,12 @@
       capacity: Called as capacity(service, slots).
       crash: Called as crash(message) with a sidecar's Crash message.
       lost: Called as lost(message) for each endpoint of a lost sidecar.
-      entries: Returns the number of live entries, this one included.
       index: Learns what the endpoints' prefix caches hold.
     """
 
     capacity: Callable[[str, int], None]
     crash: Callable[[Crash], None]
     lost: Callable[[Crash], None] = lambda _: None
-    entries: Callable[[], int] = lambda: 1
     index: PrefixIndex | None = None
 
 
@@ -264,29 +255,14 @@
         }
 
     def on_capacity(self, service: str) -> None:
-        """Tells the listener how many of a service's slots it may fill."""
-        live = [
-            endpoint
+        """Tells the listener how many requests a service runs at once."""
+        slots = sum(
+            endpoint.report.slots
             for endpoint in self.endpoints(service).values()
             if endpoint.report.state == "live"
-        ]
-        slots = own_slots(
-            sum(endpoint.report.slots for endpoint in live),
-            self._listener.entries(),
-            sum(endpoint.others_running for endpoint in live),
         )
         self._listener.capacity(service, slots)
 
-    def on_entries(self) -> None:
-        """Divides the slots anew after an entry came or went."""
-        services = {
-            endpoint.info.service
-            for connection in self._connections_by_id.values()
-            for endpoint in connection.endpoints_by_name.values()
-        }
-        for service in services:
-            self.on_capacity(service)
-
     def on_report(self, report: EndpointLoad) -> None:
         """Passes an endpoint's cache events on."""
         if self._listener.index is not None:
--- a/libs/link/src/shallotstand/link/codec.py
+++ b/libs/link/src/shallotstand/link/codec.py
@@ -114,6 +114,9 @@
         return tuple, list
     if hint is bytes:
         return bytes, bytes
+    if hint is int:
+        # pycapnp refuses subclasses of int, such as ResultCode.
+        return _same, int
     return _same, _same
 
 
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -186,6 +186,8 @@
   tokens @1 :UInt64;
   service @2 :Text;
   running @3 :UInt32;
+  waiting @4 :UInt32;
+  weight @5 :Float64;
 }
 
 struct Share {
--- a/libs/link/src/shallotstand/link/messages.py
+++ b/libs/link/src/shallotstand/link/messages.py
@@ -356,12 +356,16 @@
       tokens: Tokens served since the sender started.
       service: Name of the service.
       running: Requests in progress.
+      waiting: Requests in the queue.
+      weight: The account's weight.
     """
 
     account: str
     tokens: int
     service: str = ""
     running: int = 0
+    waiting: int = 0
+    weight: float = 0.0
 
 
 class Share(NamedTuple):
--- a/libs/serving/src/shallotstand/serving/admission.py
+++ b/libs/serving/src/shallotstand/serving/admission.py
@@ -40,12 +40,16 @@
       account: Name of the client account.
       tokens: Tokens served since the entry started.
       running: Requests in progress.
+      waiting: Requests in the queue.
+      weight: The account's weight.
     """
 
     service: str
     account: str
     tokens: int
     running: int
+    waiting: int = 0
+    weight: float = 1.0
 
 
 class Permit(Protocol):
@@ -77,7 +81,12 @@
         ...
 
     def set_capacity(self, service: str, slots: int) -> None:
-        """Tells how many requests the service's endpoints run at once."""
+        """Tells how many requests the service's endpoints run at once.
+
+        Args:
+          service: Name of the service.
+          slots: Requests of all entries together.
+        """
         ...
 
     def served(self) -> tuple[ServedTokens, ...]:
--- a/libs/serving/src/shallotstand/serving/fair_queue.py
+++ b/libs/serving/src/shallotstand/serving/fair_queue.py
@@ -15,14 +15,15 @@
 
 import asyncio
 import itertools
-from collections import deque
-from collections.abc import Iterable
+from collections import Counter, deque
+from collections.abc import Iterable, Sequence
 from typing import NamedTuple
 
 from shallotstand.core.clock import Clock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.serving.admission import Permit, ServedTokens, Ticket
+from shallotstand.serving.capacity import Demand, own_slots
 from shallotstand.serving.rates import DrainRate, TokenBucket
 
 INTERACTIVE_LEAD_S = 0.5
@@ -32,14 +33,28 @@
 REMOTE_LEAD_S = 2.0
 # The same while the speed is not known.
 _REMOTE_LEAD_TOKENS = 20_000.0
+# A request whose turn comes with less time left than it usually runs, by this
+# factor, would take a slot for an answer that nobody waits for any more.
+RUN_MARGIN = 2.0
+# Callers ask for more tokens than they use; each finished request moves the
+# account's ratio by this much.
+_RATIO_STEP = 0.05
 _CLASSES = ("interactive", "rollout")
 
 
+_NO_TURN = Failure(ResultCode.DEADLINE_PASSED, "No turn in time.")
+
+
 class _Waiter(NamedTuple):
-    """A request in a queue."""
+    """A request in a queue.
+
+    Attributes:
+      ticket: The request.
+      turn: Set to whether enough time is left when its turn comes.
+    """
 
     ticket: Ticket
-    turn: asyncio.Future[None]
+    turn: asyncio.Future[bool]
 
 
 class _Account:
@@ -47,15 +62,18 @@
 
     def __init__(self) -> None:
         self.running = 0
-        self.remote_running_by_peer: dict[str, int] = {}
+        self.remote_running = 0
         self.bucket: TokenBucket | None = None
 
     def may_start(self, limit: int) -> bool:
         """Says whether one more request is within the concurrency limit."""
-        remote = sum(self.remote_running_by_peer.values())
         # An entry that runs nothing of the account may always start one, or
         # other entries could keep a client of this one out.
-        return limit == 0 or self.running == 0 or self.running + remote < limit
+        return (
+            limit == 0
+            or self.running == 0
+            or self.running + self.remote_running < limit
+        )
 
 
 class _Flow:
@@ -68,10 +86,24 @@
         self.served = 0
         self.running = 0
         self.rollout_credit = 0.0
+        self.used_ratio = 1.0
         self.queues_by_class: dict[str, deque[_Waiter]] = {
             name: deque() for name in _CLASSES
         }
 
+    def learn_ratio(self, cost: float, tokens: float) -> None:
+        """Learns which part of the expected tokens requests really use."""
+        self.used_ratio = _moved(self.used_ratio, cost, tokens)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing runs or waits.
+
+        The first request of an idle account is not refused by an estimate, or
+        a wrong one could never be corrected by a measurement.
+        """
+        return not self.running and not self.waiting
+
     @property
     def waiting(self) -> int:
         """Number of requests in the queues."""
@@ -113,12 +145,19 @@
 
 
 class _ServiceQueue:
-    """Flows of one service and the slots that they share."""
+    """Flows of one service and the slots that they share.
+
+    Attributes:
+      total_slots: Slots of the service for all entries.
+      slots: Slots that this entry may fill.
+    """
 
     def __init__(self) -> None:
+        self.total_slots = 0
         self.slots = 0
         self.running = 0
         self.virtual = 0.0
+        self.used_ratio = 1.0
         self.rate = DrainRate()
         self.flows_by_account: dict[str, _Flow] = {}
 
@@ -127,6 +166,15 @@
         """Tokens a second of all slots; None while unknown."""
         return self.rate.tokens_per_second(self.slots)
 
+    def divide(self, others: Sequence[Sequence[Demand]]) -> None:
+        """Divides the slots anew between this entry and the others."""
+        own = [
+            Demand(name, flow.weight, flow.running, flow.waiting)
+            for name, flow in self.flows_by_account.items()
+            if flow.running or flow.waiting
+        ]
+        self.slots = own_slots(self.total_slots, own, others)
+
     def next_flow(self) -> _Flow | None:
         """Returns the flow whose turn it is."""
         ready = [f for f in self.flows_by_account.values() if f.can_start()]
@@ -167,7 +215,7 @@
         what its weight entitles it to meanwhile.
         """
         speed = self.speed
-        if not speed or self.running < self.slots:
+        if not speed or self.running < self.slots or flow.is_idle:
             return 0.0
         own = sum(w.ticket.cost for w in flow.queues_by_class["interactive"])
         if ticket.priority == "rollout":
@@ -180,16 +228,33 @@
             for other in self.flows_by_account.values()
             if other is not flow
         )
-        run_s = ticket.cost * self.slots / speed
-        return ahead / speed + run_s
+        return ahead / speed + RUN_MARGIN * self.run_time(ticket)
+
+    def run_time(self, ticket: Ticket) -> float:
+        """Returns the seconds that a request runs; 0 while unknown."""
+        speed = self.speed
+        return ticket.cost * self.slots / speed if speed else 0.0
 
 
 class _FairPermit:
     """One slot of a service."""
 
     def __init__(
-        self, admission: "FairAdmission", flow: _Flow, ticket: Ticket
+        self,
+        admission: "FairAdmission",
+        flow: _Flow,
+        ticket: Ticket,
+        asked: float,
     ) -> None:
+        """Initializes the permit.
+
+        Args:
+          admission: Whom to tell of the end.
+          flow: Flow that was charged.
+          ticket: The request, with the cost that was charged.
+          asked: Expected tokens before the account's ratio was applied.
+        """
+        self._asked = asked
         self._admission = admission
         self._flow = flow
         self._ticket = ticket
@@ -200,6 +265,11 @@
         """Frees the slot; a second call does nothing."""
         if self._open:
             self._open = False
+            if tokens > 0:
+                self._flow.learn_ratio(self._asked, tokens)
+                self._admission.learn_ratio(
+                    self._ticket.service, self._asked, tokens
+                )
             self._admission.finish(
                 self._flow, self._ticket, tokens, self._started
             )
@@ -212,7 +282,10 @@
         self._clock = clock
         self._queues_by_service: dict[str, _ServiceQueue] = {}
         self._accounts_by_name: dict[str, _Account] = {}
-        self._served_by_peer: dict[str, dict[tuple[str, str], int]] = {}
+        self._totals_by_peer: dict[
+            str, dict[tuple[str, str], ServedTokens]
+        ] = {}
+        self._live_peers: set[str] = set()
         self._incarnation_by_peer: dict[str, str] = {}
 
     def now(self) -> float:
@@ -222,13 +295,16 @@
     def set_capacity(self, service: str, slots: int) -> None:
         """Tells how many requests the service's endpoints run at once."""
         queue = self._queue(service)
-        queue.slots = slots
+        queue.total_slots = slots
+        self._divide(service)
         self._wake(queue)
 
     async def admit(self, ticket: Ticket) -> Permit | Failure:
         """Waits for the request's turn."""
         queue = self._queue(ticket.service)
         flow = self._flow(queue, ticket)
+        asked = ticket.cost
+        ticket = ticket._replace(cost=asked * flow.used_ratio)
         refusal = self._refusal(queue, flow, ticket)
         if refusal is not None:
             return refusal
@@ -239,17 +315,21 @@
         turn = asyncio.get_running_loop().create_future()
         waiter = _Waiter(ticket, turn)
         flow.queues_by_class[ticket.priority].append(waiter)
+        if flow.waiting == 1:
+            self._divide(ticket.service)
         self._wake(queue)
         try:
             async with asyncio.timeout(ticket.deadline - self.now()):
-                await turn
+                in_time = await turn
         except TimeoutError:
             self._abandon(queue, flow, waiter)
-            return Failure(ResultCode.DEADLINE_PASSED, "No turn in time.")
+            return _NO_TURN
         except asyncio.CancelledError:
             self._abandon(queue, flow, waiter)
             raise
-        return _FairPermit(self, flow, ticket)
+        if not in_time:
+            return _NO_TURN
+        return _FairPermit(self, flow, ticket, asked)
 
     def finish(
         self, flow: _Flow, ticket: Ticket, tokens: int, started: float
@@ -259,17 +339,28 @@
         queue.finish(flow, ticket, tokens)
         flow.served += tokens
         if tokens > 0:
-            # In expected tokens, as the queues are counted in them too.
-            queue.rate.add(ticket.cost, self.now() - started)
+            queue.rate.add(tokens, self.now() - started)
         self._wake_all()
 
+    def learn_ratio(self, service: str, cost: float, tokens: float) -> None:
+        """Learns from a finished request for accounts that come later."""
+        queue = self._queue(service)
+        queue.used_ratio = _moved(queue.used_ratio, cost, tokens)
+
     def served(self) -> tuple[ServedTokens, ...]:
         """Returns what this entry has served, for the other entries."""
         return tuple(
-            ServedTokens(service, account, flow.served, flow.running)
+            ServedTokens(
+                service,
+                account,
+                flow.served,
+                flow.running,
+                flow.waiting,
+                flow.weight,
+            )
             for service, queue in self._queues_by_service.items()
             for account, flow in queue.flows_by_account.items()
-            if flow.served or flow.running
+            if flow.served or flow.running or flow.waiting
         )
 
     def note_served(
@@ -282,32 +373,49 @@
         """
         known = self._incarnation_by_peer.get(peer) == incarnation
         if not known:
-            self._served_by_peer.pop(peer, None)
-            self.forget_peer(peer)
+            self._totals_by_peer[peer] = {}
         self._incarnation_by_peer[peer] = incarnation
-        served = self._served_by_peer.setdefault(peer, {})
-        running_by_account: dict[str, int] = {}
+        self._live_peers.add(peer)
+        before = self._totals_by_peer[peer]
         for total in totals:
-            before = served.get((total.service, total.account), 0)
-            served[total.service, total.account] = total.tokens
-            if known and total.tokens > before:
-                self._charge_remote(total, total.tokens - before)
-            running = running_by_account.get(total.account, 0)
-            running_by_account[total.account] = running + total.running
-        for name, count in running_by_account.items():
-            account = self._accounts_by_name.setdefault(name, _Account())
-            account.remote_running_by_peer[peer] = count
-        self._wake_all()
+            key = (total.service, total.account)
+            tokens = total.tokens - (before[key].tokens if key in before else 0)
+            before[key] = total
+            if known and tokens > 0:
+                self._charge_remote(total, tokens)
+        self._take_peers()
 
     def forget_peer(self, peer: str) -> None:
         """Forgets what a lost entry ran, so that its loss frees its share.
 
         Its totals are kept: the same incarnation may connect again.
         """
-        for account in self._accounts_by_name.values():
-            account.remote_running_by_peer.pop(peer, None)
+        self._live_peers.discard(peer)
+        self._take_peers()
+
+    def _take_peers(self) -> None:
+        """Applies what the live entries run."""
+        running = Counter()
+        for peer in self._live_peers:
+            for total in self._totals_by_peer[peer].values():
+                running[total.account] += total.running
+        for name, account in self._accounts_by_name.items():
+            account.remote_running = running[name]
+        for service in self._queues_by_service:
+            self._divide(service)
         self._wake_all()
 
+    def _divide(self, service: str) -> None:
+        others = [
+            [
+                Demand(t.account, t.weight, t.running, t.waiting)
+                for t in self._totals_by_peer[peer].values()
+                if t.service == service and (t.running or t.waiting)
+            ]
+            for peer in self._live_peers
+        ]
+        self._queue(service).divide(others)
+
     def _charge_remote(self, total: ServedTokens, tokens: int) -> None:
         account = self._accounts_by_name.get(total.account)
         if account is not None and account.bucket is not None:
@@ -348,7 +456,9 @@
             line.remove(waiter)
             if flow.account.bucket is not None:
                 flow.account.bucket.take(-waiter.ticket.cost)
-        else:
+        elif waiter.turn.done() and not waiter.turn.cancelled():
+            if not waiter.turn.result():
+                return
             # Its turn had come just before the wait was cancelled.
             queue.finish(flow, waiter.ticket, 0)
         self._wake_all()
@@ -364,11 +474,17 @@
             if flow is None:
                 return
             waiter = flow.take()
-            queue.start(flow, waiter.ticket)
             if waiter.turn.done():
-                queue.finish(flow, waiter.ticket, 0)
-            else:
-                waiter.turn.set_result(None)
+                continue  # cancelled; its task takes back what it reserved
+            run_s = RUN_MARGIN * queue.run_time(waiter.ticket)
+            in_time = (
+                not flow.running or self.now() + run_s <= waiter.ticket.deadline
+            )
+            if in_time:
+                queue.start(flow, waiter.ticket)
+            elif flow.account.bucket is not None:
+                flow.account.bucket.take(-waiter.ticket.cost)
+            waiter.turn.set_result(in_time)
 
     def _flow(self, queue: _ServiceQueue, ticket: Ticket) -> _Flow:
         account = self._accounts_by_name.setdefault(ticket.account, _Account())
@@ -376,6 +492,7 @@
         if flow is None:
             flow = queue.flows_by_account[ticket.account] = _Flow(account)
             flow.virtual = queue.virtual
+            flow.used_ratio = queue.used_ratio
         flow.weight = max(ticket.weight, 1e-6)
         rate = ticket.tokens_per_second
         if rate <= 0:
@@ -388,3 +505,8 @@
 
     def _queue(self, service: str) -> _ServiceQueue:
         return self._queues_by_service.setdefault(service, _ServiceQueue())
+
+
+def _moved(ratio: float, cost: float, tokens: float) -> float:
+    """Returns the ratio of used to expected tokens after a request."""
+    return ratio + _RATIO_STEP * (tokens / max(1.0, cost) - ratio)
--- a/libs/serving/src/shallotstand/serving/prefix_routing.py
+++ b/libs/serving/src/shallotstand/serving/prefix_routing.py
@@ -13,13 +13,15 @@
 )
 
 # A wholly cached prompt makes up for this much load, in shares of the slots.
-HIT_BONUS = 0.6
+HIT_BONUS = 1.0
+# Below this load an endpoint batches one more request at almost no cost.
+EASY_LOAD = 0.8
 # 3 ms for the way to another availability zone and back are little beside
 # an answer of seconds, but they are not free.
 ZONE_PENALTY = 0.1
 # How much likelier an endpoint with the whole prefix is picked than one
 # without; lower values find the holder too rarely among many endpoints.
-_HIT_FACTOR = 40.0
+_HIT_FACTOR = 1000.0
 
 
 class PrefixRouter:
@@ -42,7 +44,7 @@
             return NO_ENDPOINT
         hit_by_name = {c.name: self._hit(c, query) for c in live}
         weights = [
-            (1 + _HIT_FACTOR * hit_by_name[c.name]) / (0.1 + c.load) ** 2
+            (1 + _HIT_FACTOR * hit_by_name[c.name]) / (0.5 + c.load)
             for c in live
         ]
         pair = self._rng.choices(live, weights, k=2)
@@ -51,7 +53,7 @@
         chosen = min(
             pair,
             key=lambda c: (
-                c.load
+                max(c.load, EASY_LOAD)
                 + ZONE_PENALTY * (c.zone != query.zone)
                 - HIT_BONUS * hit_by_name[c.name]
             ),
--- /dev/null
+++ b/libs/serving/tests/test_resume.py
@@ -0,0 +1,41 @@
+"""Continuing a cut completion."""
+
+import orjson
+from shallotstand.serving.resume import (
+    Generated,
+    GeneratedSpan,
+    add_piece,
+    continuation,
+    is_resumable,
+    join,
+)
+
+FIELDS = {"model": "m", "prompt": "p ", "max_tokens": 9}
+
+
+def piece(text, prompt_tokens=0):
+    usage = {"prompt_tokens": prompt_tokens}
+    return orjson.dumps({"choices": [{"text": text}], "usage": usage})
+
+
+def test_pieces_join_without_gap_or_repeat():
+    first = add_piece(Generated(), piece("a b "), [("v1", 2)])
+    second = add_piece(first, piece("c "), [("v1", 1)])
+    rest = orjson.loads(continuation(FIELDS, second))
+    assert rest == {"model": "m", "prompt": "p a b c ", "max_tokens": 6}
+    whole = join(second, piece("d e", 10), [("v1", 1), ("v2", 1)])
+    assert orjson.loads(whole.body)["choices"][0]["text"] == "a b c d e"
+    assert whole.spans == (GeneratedSpan("v1", 4), GeneratedSpan("v2", 1))
+    assert (whole.prompt_tokens, whole.completion_tokens) == (7, 5)
+
+
+def test_pieces_that_cannot_be_trusted_add_nothing():
+    for body, spans in ((b"", []), (b"[]", []), (piece("a"), [])):
+        assert add_piece(Generated(), body, spans) == Generated()
+
+
+def test_fields_that_change_a_continuation_forbid_it():
+    assert is_resumable("/v1/completions", FIELDS)
+    assert not is_resumable("/v1/chat/completions", FIELDS)
+    assert not is_resumable("/v1/completions", FIELDS | {"stop": ["x"]})
+    assert not is_resumable("/v1/completions", FIELDS | {"prompt": ["p"]})
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measures decisions against their baselines on seeded load."""
