--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(sort $(wildcard libs/*/pyproject.toml apps/*/pyproject.toml))
 INSTALLED := $(VENV)/.installed
 
-.PHONY: install pages test lint format demo clean
+.PHONY: install pages test lint format demo measure clean
 
 install: $(INSTALLED)
 
@@ -35,5 +35,8 @@
 demo: install
 	$(BIN)/python -m shallotstand.standins.demo
 
+measure: install
+	$(BIN)/python -m measure
+
 clean:
 	rm -rf $(VENV)
--- a/apps/entry/src/shallotstand/entry/config_sync.py
+++ b/apps/entry/src/shallotstand/entry/config_sync.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from absl import logging
 from shallotstand.control.adoption import ConfigKeeper, Offer
@@ -42,6 +42,7 @@
 _SAVE_RETRY_S = 2.0
 _SINGLE_CALL = Backoff(attempts=1)
 _PEER_ROLES = ("entry", "controller")
+_OWN_TYPES = (Config, ConfigAsk, ConfigHeld, Withdraw)
 _WHOLE_SET_HELPS = (ResultCode.REVISION_GAP, ResultCode.DIGEST_MISMATCH)
 
 
@@ -59,6 +60,10 @@
     keeper.subscribe(adopt)
 
 
+def _ignore(peer: PeerConnection, message: Message) -> None:
+    """Drops a message that is not about configuration."""
+
+
 class ConfigSync:
     """Tells the keeper what store and peers say, and peers what it holds."""
 
@@ -98,13 +103,25 @@
         peer.on_ping = self._on_ping
         self._note_named(peer.hello.revision)
 
-    async def serve(self, peer: PeerConnection) -> None:
-        """Handles an entry or controller until its connection ends."""
+    async def serve(
+        self,
+        peer: PeerConnection,
+        on_other: Callable[[PeerConnection, Message], None] = _ignore,
+    ) -> None:
+        """Handles an entry or controller until its connection ends.
+
+        Args:
+          peer: The connection.
+          on_other: Called with messages that are not about configuration.
+        """
         name = peer_name(peer.hello)
         self._greet(peer)
         try:
             async for message in peer.messages():
-                self._take(peer, name, message)
+                if isinstance(message, _OWN_TYPES):
+                    self._take(peer, name, message)
+                else:
+                    on_other(peer, message)
         finally:
             # A newer connection of this peer brings offers of its own.
             if self._node.peers_by_id.get(peer.hello.process_id) is peer:
--- a/apps/entry/src/shallotstand/entry/main.py
+++ b/apps/entry/src/shallotstand/entry/main.py
@@ -14,18 +14,23 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.core.ids import new_id
+from shallotstand.entry.attempts import Attempts, Policies
 from shallotstand.entry.config_sync import ConfigSync, serve_by
+from shallotstand.entry.crashes import CrashDesk
 from shallotstand.entry.gateway import Gateway
 from shallotstand.entry.http_front import make_app
 from shallotstand.entry.settings import TABLE, EntrySettings
+from shallotstand.entry.shares import ShareExchange
 from shallotstand.entry.sidecars import Fleet, FleetListener
-from shallotstand.link.messages import Peer
+from shallotstand.link.messages import Crash, Message, Peer, Release, Share
 from shallotstand.link.node import Identity, Node, PeerConnection
 from shallotstand.platform.absent_store import AbsentStore
 from shallotstand.platform.protocols import ObjectStore
-from shallotstand.serving.first_come import FirstComeAdmission
+from shallotstand.serving.fair_queue import FairAdmission
+from shallotstand.serving.hedging import LatencyHedges
+from shallotstand.serving.prefix_index import DecayingPrefixIndex
+from shallotstand.serving.prefix_routing import PrefixRouter
 from shallotstand.serving.retries import BudgetedRetries
-from shallotstand.serving.routing import LeastLoadedRouter
 from shallotstand.settings.loader import load_or_exit
 
 
@@ -36,17 +41,29 @@
         clock = SystemClock()
         rng = random.Random()
         self.settings = settings
-        self.admission = FirstComeAdmission(clock)
+        self.admission = FairAdmission(clock)
+        self.crashes = CrashDesk(clock)
+        self.shares = ShareExchange(self.admission)
+        index = DecayingPrefixIndex(clock)
         self.fleet = Fleet(
-            FleetListener(self.admission.set_capacity, lambda _: None)
+            FleetListener(
+                self.admission.set_capacity,
+                self.crashes.take_crash,
+                self.crashes.report_lost,
+                index,
+            )
+        )
+        policies = Policies(
+            PrefixRouter(rng, index),
+            BudgetedRetries(rng),
+            LatencyHedges(),
+            self.crashes.quarantine,
         )
         self.gateway = Gateway(
-            settings.zone,
-            self.fleet,
-            LeastLoadedRouter(rng),
+            Attempts(settings.zone, self.fleet, policies, clock),
             self.admission,
-            BudgetedRetries(rng),
             clock,
+            self.crashes.finish,
         )
         address = settings.peer_listen
         identity = Identity(
@@ -62,7 +79,10 @@
                 address.port,
             ),
         )
-        self.node = Node(identity, self._serve_peer, clock)
+        self.node = Node(
+            identity, self._serve_peer, clock, self.crashes.describe
+        )
+        self.crashes.node = self.shares.node = self.node
         keeper = ConfigKeeper(str(address), map(str, settings.entries), clock)
         serve_by(keeper, self.gateway)
         self.config_sync = ConfigSync(keeper, store, self.node)
@@ -92,9 +112,11 @@
             access_log=False,
         )
         await http_server.startup()
+        sharing = asyncio.create_task(self.shares.run())
         logs.event(logging.INFO, "Started", listen=str(self.settings.listen))
         await stopping.wait()
         await self._drain()
+        sharing.cancel()
         await http_server.close()
         await self.config_sync.close()
         await self.node.close()
@@ -105,8 +127,24 @@
         self.config_sync.observe(peer)
         if peer.hello.role == "sidecar":
             await self.fleet.serve(peer)
-        else:
-            await self.config_sync.serve(peer)
+            return
+        if peer.hello.role == "entry":
+            self.crashes.learn(peer.hello)
+            self.shares.greet(peer)
+        try:
+            await self.config_sync.serve(peer, self._take_message)
+        finally:
+            if peer.hello.role == "entry":
+                self.shares.forget(peer)
+
+    def _take_message(self, peer: PeerConnection, message: Message) -> None:
+        match message:
+            case Share():
+                self.shares.take(peer, message)
+            case Crash():
+                self.crashes.take_crash(message)
+            case Release():
+                self.crashes.take_release(message)
 
     async def _drain(self) -> None:
         self.gateway.refusal = Failure(
--- a/apps/standins/src/shallotstand/standins/engine.py
+++ b/apps/standins/src/shallotstand/standins/engine.py
@@ -10,8 +10,8 @@
 
 from shallotstand.core.clock import Clock, SystemClock
 from shallotstand.core.ids import new_id
+from shallotstand.core.prompt_blocks import prompt_blocks
 
-BLOCK_CHARS = 64
 # A prompt that contains this ends the engine process that runs it.
 CRASH_MARKER = "<<crash-engine>>"
 
@@ -283,17 +283,6 @@
         return missing * self.profile.prefill_s
 
 
-def prompt_blocks(prompt: str) -> tuple[int, ...]:
-    """Returns a hash for each whole block, which covers all before it."""
-    ends = range(BLOCK_CHARS, len(prompt) + 1, BLOCK_CHARS)
-    return tuple(
-        int.from_bytes(
-            hashlib.blake2b(prompt[:end].encode(), digest_size=8).digest()
-        )
-        for end in ends
-    )
-
-
 def token_text(prompt: str, index: int) -> str:
     """Returns the token that every engine generates at an index."""
     digest = hashlib.blake2b(f"{index}:{prompt}".encode(), digest_size=3)
--- a/apps/standins/tests/test_engine.py
+++ b/apps/standins/tests/test_engine.py
@@ -3,11 +3,8 @@
 import asyncio
 
 from shallotstand.core.clock import ManualClock
-from shallotstand.standins.engine import (
-    BLOCK_CHARS,
-    EngineProfile,
-    StandinEngine,
-)
+from shallotstand.core.prompt_blocks import BLOCK_CHARS
+from shallotstand.standins.engine import EngineProfile, StandinEngine
 
 
 def run_prompts(profile: EngineProfile, prompts: int) -> tuple:
--- a/libs/link/src/shallotstand/link/codec.py
+++ b/libs/link/src/shallotstand/link/codec.py
@@ -145,7 +145,7 @@
     if hint is bytes:
         return bytes, bytes
     if hint is int:
-        # pycapnp refuses subclasses of int, such as result codes.
+        # pycapnp refuses subclasses of int, such as ResultCode.
         return _same, int
     return _same, _same
 
