--- a/apps/entry/src/shallotstand/entry/main.py
+++ b/apps/entry/src/shallotstand/entry/main.py
@@ -21,7 +21,7 @@
 from shallotstand.entry.sidecars import Fleet, FleetListener
 from shallotstand.link.messages import Peer
 from shallotstand.link.node import Identity, Node, PeerConnection
-from shallotstand.platform.absent_store import AbsentStore
+from shallotstand.platform.http_store import HttpObjectStore
 from shallotstand.platform.protocols import ObjectStore
 from shallotstand.serving.first_come import FirstComeAdmission
 from shallotstand.serving.retries import BudgetedRetries
@@ -125,7 +125,13 @@
     checked = EntrySettings.from_config(load_or_exit(settings, TABLE))
     logs.configure("shallotstand-entry", checked.process_id, checked.log_level)
     uvloop.install()
-    asyncio.run(Entry.from_config(checked, AbsentStore()).run())
+    asyncio.run(_run(checked))
+
+
+async def _run(settings: EntrySettings) -> None:
+    store = HttpObjectStore(settings.store_url)
+    await Entry.from_config(settings, store).run()
+    await store.close()
 
 
 def main() -> None:
--- a/apps/standins/src/shallotstand/standins/demo.py
+++ b/apps/standins/src/shallotstand/standins/demo.py
@@ -7,10 +7,12 @@
 
 import aiohttp
 import orjson
+from shallotstand.control.publication import publish as publish_catalog
 from shallotstand.core.failure import Failure
+from shallotstand.objects.types import Catalog
 from shallotstand.platform.http_store import HttpObjectStore
 from shallotstand.standins.demo_checks import CHECKS, Demo, Tally, wait_ready
-from shallotstand.standins.demo_config import demo_catalog, write_catalog
+from shallotstand.standins.demo_config import demo_catalog
 from shallotstand.standins.demo_fleet import Fleet, FleetPlan
 
 _TIMEOUT_S = 30.0
@@ -34,13 +36,13 @@
 
 
 async def publish(plan: FleetPlan) -> Tally:
-    """Writes the configuration into the store."""
+    """Publishes the configuration, which the entries then adopt."""
     store = HttpObjectStore(f"http://{plan.store}")
     catalog = demo_catalog(plan.addresses_by_service())
-    failure = await write_catalog(store, catalog)
+    published = await publish_catalog(store, Catalog.empty(), catalog)
     await store.close()
-    if isinstance(failure, Failure):
-        return Tally(faults=(f"Not published: {failure.reason}",))
+    if isinstance(published, Failure):
+        return Tally(faults=(f"Not published: {published.reason}",))
     return Tally()
 
 
--- a/apps/standins/src/shallotstand/standins/demo_config.py
+++ b/apps/standins/src/shallotstand/standins/demo_config.py
@@ -1,11 +1,5 @@
-"""The configuration of the demo, written to the store directly.
+"""The configuration of the demo."""
 
-It stands in for publication and adoption, and goes when these can be used.
-"""
-
-import orjson
-from shallotstand.core.codes import ResultCode
-from shallotstand.core.failure import Failure
 from shallotstand.objects.keys import hash_key
 from shallotstand.objects.types import (
     Catalog,
@@ -14,9 +8,7 @@
     Key,
     Service,
 )
-from shallotstand.platform.protocols import ObjectStore
 
-CATALOG_KEY = "demo/catalog"
 TRAINER_KEY = "demo-trainer-key"
 GUEST_KEY = "demo-guest-key"
 MODEL = "drafts"
@@ -38,8 +30,8 @@
     return Catalog.empty()._replace(
         revision=1,
         accounts_by_name={
-            "trainer": ClientAccount("trainer", 2.0, 0, 0, True),
-            "guest": ClientAccount("guest", 1.0, 0, 0, False),
+            "trainer": ClientAccount("trainer", 2.0, 0.0, 0, True),
+            "guest": ClientAccount("guest", 1.0, 0.0, 0, False),
         },
         keys_by_name={
             "trainer-1": Key("trainer-1", "trainer", hash_key(TRAINER_KEY)),
@@ -59,43 +51,6 @@
     )
 
 
-async def write_catalog(store: ObjectStore, catalog: Catalog) -> Failure | None:
-    """Writes a configuration into the store, in place of the one there."""
-    held = await store.get(CATALOG_KEY)
-    version = 0
-    if not isinstance(held, Failure):
-        version = held.version
-    elif held.code != ResultCode.OBJECT_NOT_FOUND:
-        return held
-    written = await store.put(CATALOG_KEY, encode_catalog(catalog), version)
-    return written if isinstance(written, Failure) else None
-
-
-def encode_catalog(catalog: Catalog) -> bytes:
-    """Returns JSON in which every object is a list of its fields."""
-    return orjson.dumps(catalog, default=list)
-
-
-def decode_catalog(content: bytes) -> Catalog:
-    """Returns the configuration of an encoding of this module."""
-    revision, accounts, keys, services, *_ = orjson.loads(content)
-    return Catalog.empty()._replace(
-        revision=revision,
-        accounts_by_name={n: ClientAccount(*v) for n, v in accounts.items()},
-        keys_by_name={n: Key(*v) for n, v in keys.items()},
-        services_by_name={
-            name: _tuples(Service(*values)) for name, values in services.items()
-        },
-    )
-
-
-def _tuples(service: Service) -> Service:
-    return service._replace(
-        endpoints=tuple(Endpoint(*values) for values in service.endpoints),
-        not_run_statuses=tuple(service.not_run_statuses),
-    )
-
-
 def _service(name: str, **fields: object) -> Service:
     held = Service(
         name=name,
@@ -108,8 +63,9 @@
         idempotent=False,
         not_run_statuses=(429, 503),
         flush_ms=20,
-        tokens_per_second=0,
+        tokens_per_second=0.0,
         max_queue=100,
         deadline_s=10.0,
+        weights_interval_s=0.0,
     )
     return held._replace(**fields)
--- a/apps/standins/src/shallotstand/standins/demo_fleet.py
+++ b/apps/standins/src/shallotstand/standins/demo_fleet.py
@@ -11,8 +11,7 @@
 
 _SIDECAR_MODULE = "shallotstand.sidecar.main"
 _STANDINS_MODULE = "shallotstand.standins.main"
-# The program of the entry, until it adopts configurations by itself.
-_ENTRY_MODULE = "shallotstand.standins.demo_entry"
+_ENTRY_MODULE = "shallotstand.entry.main"
 
 
 class EndpointPlan(NamedTuple):
