Let the controller adopt the published configuration

Cause: zero reports and service scopes need the accounts and services. Change: the controller watches config/head and reads the catalog. Result: an account published while it runs gets a report of zeros (test_controller.py). Conclusion: with the store down a fresh controller has no configuration yet; adoption from peers is still to be wired.

--- a/apps/controller/src/shallotstand/controller/controller.py
+++ b/apps/controller/src/shallotstand/controller/controller.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 
+from absl import logging
+from shallotstand.control.config_store import HEAD_KEY, Head, read_catalog
 from shallotstand.control.orders import OrderDesk
 from shallotstand.control.scopes import PREFIX as SCOPE_PREFIX
 from shallotstand.control.scopes import ScopeKeeper
@@ -14,6 +16,7 @@
 from shallotstand.controller.receivers import OrderResults
 from shallotstand.controller.settings import ControllerSettings
 from shallotstand.controller.usage_duty import UsageDuty
+from shallotstand.core import logs
 from shallotstand.core.clock import Clock
 from shallotstand.core.failure import Failure
 from shallotstand.link.messages import OrderResult, Peer, Usage
@@ -103,6 +106,7 @@
                 _watch(self._store.watch(SCOPE_PREFIX), self.keeper.observe)
             ),
             asyncio.create_task(self._settle()),
+            asyncio.create_task(self._follow_config()),
         ]
         # Any of these that ends, ends the process: none can be done without.
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -111,6 +115,23 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await self._leave()
 
+    async def _follow_config(self) -> None:
+        """Adopts each published configuration; an older one never."""
+        async for stored in self._store.watch(HEAD_KEY):
+            if isinstance(stored, Failure) or stored.version == 0:
+                continue
+            head = Head.decode(stored)
+            if isinstance(head, Failure):
+                adopted = head
+            else:
+                adopted = await read_catalog(self._store, head, self.catalog)
+            if isinstance(adopted, Failure):
+                logs.event(
+                    logging.WARNING, "Not adopted", reason=adopted.reason
+                )
+            else:
+                self.catalog = adopted
+
     async def _settle(self) -> None:
         while True:
             await self.keeper.settle(self.wanted_scopes())
--- a/apps/controller/tests/test_controller.py
+++ b/apps/controller/tests/test_controller.py
@@ -8,6 +8,7 @@
 import pytest
 from shallotstand.control import usage_shards
 from shallotstand.control.orders import OrderTicket
+from shallotstand.control.publication import publish
 from shallotstand.control.watchdog import NoWatchdog
 from shallotstand.controller import controller, usage_duty
 from shallotstand.controller.controller import Controller
@@ -15,6 +16,7 @@
 from shallotstand.controller.settings import ControllerSettings
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
 from shallotstand.link.node import Identity, Node
 from shallotstand.objects.types import Catalog, ClientAccount
 from shallotstand.settings.options import Host
@@ -96,13 +98,16 @@
     made = Controller(
         settings, name + "-1", store, sink, NoWatchdog(), SystemClock()
     )
-    accounts = {
-        name: ClientAccount(name, 1.0, 0, 0, False) for name in ("club", "idle")
-    }
-    made.catalog = Catalog.empty()._replace(accounts_by_name=accounts)
     return made, port
 
 
+async def publish_accounts(store, *names) -> None:
+    accounts = {name: ClientAccount(name, 1.0, 0.0, 0, False) for name in names}
+    target = Catalog.empty()._replace(accounts_by_name=accounts)
+    published = await publish(store, Catalog.empty(), target)
+    assert not isinstance(published, Failure)
+
+
 @contextlib.asynccontextmanager
 async def running(made: Controller):
     stopping = asyncio.Event()
@@ -129,9 +134,11 @@
 
 def test_usage_reaches_the_report_and_is_acknowledged():
     async def check():
-        sink = RecordingSink()
-        made, port = make_controller("c1", StandinObjectStore(), sink)
+        store, sink = StandinObjectStore(), RecordingSink()
+        made, port = make_controller("c1", store, sink)
         async with running(made):
+            await publish_accounts(store, "club", "idle")
+            await until(lambda: "idle" in made.catalog.accounts_by_name)
             sidecar = Sidecar([port])
             await until(lambda: len(made.keeper.held_by_name) == 3)
             wall = SystemClock().wall()
