Fit the tests to the entry's merged constructors

Change: the tests pass both; the codec test knows floats, since Share carries weights. No check was changed.

--- a/apps/entry/tests/test_config_sync.py
+++ b/apps/entry/tests/test_config_sync.py
@@ -53,7 +53,7 @@
         self.ports = ports
         self.keeper = ConfigKeeper(names[number], names, clock or SystemClock())
         # Neither routing nor admission is reached by these requests.
-        self.gateway = Gateway("z", None, None, Refusing(), None, SystemClock())
+        self.gateway = Gateway(NoAttempts(), Refusing(), SystemClock())
         identity = Identity(f"e{number}", "entry", "z", f"{id(self)}", address)
         self.node = Node(identity, self.serve, SystemClock())
         serve_by(self.keeper, self.gateway)
@@ -79,6 +79,13 @@
         return (await self.gateway.serve(request)).code
 
 
+class NoAttempts:
+    """Quarantines nothing and is never asked to run a request."""
+
+    def refusal(self, work):
+        return None
+
+
 class Refusing:
     """Admits nothing; the code shows that a request came this far."""
 
@@ -206,7 +213,7 @@
 @pytest.mark.parametrize("shutting_down", [False, True])
 def test_adoption_ends_only_its_own_refusal(shutting_down):
     keeper = ConfigKeeper("a", ["a"], ManualClock())
-    gateway = Gateway("z", None, None, Refusing(), None, ManualClock())
+    gateway = Gateway(NoAttempts(), Refusing(), ManualClock())
     serve_by(keeper, gateway)
     if shutting_down:
         gateway.refusal = Failure(Code.SHUTTING_DOWN, "")
--- a/libs/link/tests/test_codec.py
+++ b/libs/link/tests/test_codec.py
@@ -23,6 +23,7 @@
     return {
         int: st.integers(0, 127),
         bool: st.booleans(),
+        float: st.integers(0, 127).map(float),
         str: st.text(max_size=8),
         bytes: st.binary(max_size=8),
     }[hint]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -21,6 +21,7 @@
 from shallotstand.sidecar.runner import Runner
 from shallotstand.sidecar.settings import EndpointSettings
 from shallotstand.sidecar.usage_log import UsageLog
+from shallotstand.standins.object_store import StandinObjectStore
 
 POISON = "poison"
 
@@ -139,9 +140,12 @@
                     15,
                     660,
                     True,
-                )
+                ),
+                StandinObjectStore(),
             )
+            # These tests are not about adoption and set the catalog by hand.
             entry.gateway.adopt(self._catalog)
+            entry.gateway.refusal = None
             await entry.node.listen()
             self._tasks.append(asyncio.create_task(entry.shares.run()))
             self.entries.append(entry)
@@ -276,7 +280,7 @@
         old = path.entries[0].crashes
         old.quarantine.learn((b"s" * 16,), {})
         hello = old.describe(path.entries[0].node._hello())
-        new = Entry(path.entries[0].settings).crashes
+        new = Entry(path.entries[0].settings, StandinObjectStore()).crashes
         new.learn(hello)
         assert new.quarantine.is_suspect(b"s" * 16)
         assert new.quarantine.refusal(print_).code == ResultCode.QUARANTINED
