--- a/apps/standins/src/shallotstand/standins/object_store.py
+++ b/apps/standins/src/shallotstand/standins/object_store.py
@@ -98,7 +98,7 @@
         await asyncio.sleep(0)
         if self.faults.down:
             return _UNAVAILABLE
-        return self._below(prefix)
+        return _objects_below(self._objects_by_key, prefix)
 
     async def watch(self, prefix: str) -> AsyncIterator[StoredObject | Failure]:
         """Yields the objects below a prefix, then each change of them."""
@@ -109,18 +109,28 @@
                 await self._wait(lambda: not self.faults.down)
                 continue
             seen = len(self.history)
-            for held in self._below(prefix):
+            for held in _objects_below(self._objects_by_key, prefix):
                 yield held
-            while not self.faults.down:
-                for change in self.history[seen:]:
-                    if change.key.startswith(prefix):
-                        yield change
-                seen = len(self.history)
-                await self._wait(
-                    lambda seen=seen: (
-                        len(self.history) > seen or self.faults.down
-                    )
-                )
+            async for change in self.changes(prefix, seen):
+                yield change
+
+    async def changes(
+        self, prefix: str, seen: int
+    ) -> AsyncIterator[StoredObject]:
+        """Yields changes below a prefix until the store goes down.
+
+        Args:
+          prefix: Prefix of the keys.
+          seen: Length of the history up to which changes are known.
+        """
+        while not self.faults.down:
+            for change in self.history[seen:]:
+                if change.key.startswith(prefix):
+                    yield change
+            seen = len(self.history)
+            await self._wait(
+                lambda seen=seen: len(self.history) > seen or self.faults.down
+            )
 
     async def set_faults(self, faults: StoreFaults) -> None:
         """Shows these faults from now on; open watches notice an outage."""
@@ -155,9 +165,13 @@
         async with self._changed:
             await self._changed.wait_for(ready)
 
-    def _below(self, prefix: str) -> list[StoredObject]:
-        return [
-            held
-            for key, held in sorted(self._objects_by_key.items())
-            if key.startswith(prefix)
-        ]
+
+# Outside the class, in which `list` is the method.
+def _objects_below(
+    objects_by_key: dict[str, StoredObject], prefix: str
+) -> list[StoredObject]:
+    return [
+        held
+        for key, held in sorted(objects_by_key.items())
+        if key.startswith(prefix)
+    ]
--- a/libs/core/src/shallotstand/core/codes.py
+++ b/libs/core/src/shallotstand/core/codes.py
@@ -74,6 +74,8 @@
     SAMPLE_STALE = 5007
     STEP_CONFLICT = 5008
     NOT_JOB_HOLDER = 5009
+    STEP_OUT_OF_ORDER = 5010
+    SCORER_FAILED = 5011
 
     STORE_UNAVAILABLE = 6001
     VERSION_CONFLICT = 6002
@@ -250,6 +252,12 @@
     ResultCode.NOT_JOB_HOLDER: CodeInfo(
         503, "Another entry leads this job and can't be reached."
     ),
+    ResultCode.STEP_OUT_OF_ORDER: CodeInfo(
+        409, "An earlier step of the job is not acknowledged yet."
+    ),
+    ResultCode.SCORER_FAILED: CodeInfo(
+        502, "The job's scorer gave no score for a sample."
+    ),
     ResultCode.STORE_UNAVAILABLE: CodeInfo(
         503, "The platform's store is down or slow."
     ),
--- /dev/null
+++ b/libs/rollout/tests/test_handover.py
@@ -0,0 +1,498 @@
+"""Exactly-once handover under kills, lost answers and concurrent holders."""
+
+import asyncio
+import itertools
+
+import orjson
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.objects.types import RolloutJob
+from shallotstand.rollout import conditional_write
+from shallotstand.rollout.handover import Handover
+from shallotstand.rollout.ledger import JobLedger, LedgerState
+from shallotstand.rollout.samples import Sample, VersionSpan
+from shallotstand.rollout.staleness import ModelVersions
+from shallotstand.standins.object_store import StandinObjectStore, StoreFaults
+
+JOB = RolloutJob("job", "acct", "drafts", 2, 2, 1, "", "", 60.0)
+PROMPTS = ("a", "b")
+VERSIONS = ModelVersions({f"v{n}": n for n in range(1, 50)}, 1)
+
+
+@pytest.fixture(autouse=True)
+def no_retry_delay(monkeypatch):
+    monkeypatch.setattr(conditional_write, "_RETRY_DELAY_S", 0.0)
+
+
+class Lease:
+    """A lease that never lapses by itself."""
+
+    def __init__(self, epoch):
+        self.epoch = epoch
+        self.is_held = True
+        self.time_left_s = 7.0
+        self.holder_address = ""
+
+
+class KilledError(Exception):
+    """The holder's process ended."""
+
+
+class CutStore(StandinObjectStore):
+    """Shows one fault at the n-th write."""
+
+    def __init__(self, write, fault):
+        super().__init__()
+        self.left = write
+        self.fault = fault
+
+    async def put(self, key, value, expected_version):
+        self.left -= 1
+        if self.left != 0:
+            return await super().put(key, value, expected_version)
+        if self.fault == "killed before":
+            raise KilledError
+        if self.fault == "not written":
+            return Failure(ResultCode.STORE_UNAVAILABLE, "")
+        await super().put(key, value, expected_version)
+        if self.fault == "killed after":
+            raise KilledError
+        return Failure(ResultCode.STORE_UNAVAILABLE, "")
+
+
+def holder(store, epoch):
+    return Handover(JOB, JobLedger(store, "job", Lease(epoch)), VERSIONS)
+
+
+async def take(store, epoch):
+    """Starts a holder; repeats as the service does."""
+    new = holder(store, epoch)
+    while await new.take_over(epoch) is not None:
+        pass
+    return new
+
+
+def sample(sample_id, version="v1"):
+    return Sample(
+        sample_id, f"text {sample_id}", (VersionSpan(version, 3),), 1, 3, 0.5
+    )
+
+
+def fill(handover, step, retained, version="v1"):
+    """Offers the retained samples, then generates the missing ones."""
+    for kept in list(retained):
+        handover.add(kept)
+    held = handover.steps_by_number[step]
+    if held.manifest is None:
+        for slot in held.collector.missing():
+            made = sample(handover.next_id(slot), version)
+            assert handover.add(made) is None
+            retained.append(made._replace(score=None))
+
+
+async def sealed(handover, step=0, version="v1"):
+    retained = []
+    assert await handover.open(step, PROMPTS) is None
+    fill(handover, step, retained, version)
+    assert await handover.seal(step) is None
+    return retained
+
+
+def run(check):
+    asyncio.run(check())
+
+
+def check_used(used, state: LedgerState):
+    """The oracle: whole steps, in order, each counted as the trainer did."""
+    assert [step for step, _, _ in used] == list(range(len(used)))
+    ids = [s["id"] for _, _, body in used for s in body["samples"]]
+    assert len(ids) == len(set(ids)) == 4 * len(used)
+    for step, digest, body in used:
+        places = {(s["group"], s["index"]) for s in body["samples"]}
+        assert places == set(itertools.product(range(2), range(2)))
+        assert state.acknowledged[step].digest == digest
+    assert state.next_step == len(used)
+
+
+async def train(store, steps, keep_retained):
+    """Runs a trainer over holders that may be killed at any write."""
+    epochs = itertools.count(1)
+    retained, used, current, fetched = [], [], None, None
+    while len(used) < steps:
+        step = len(used)
+        try:
+            current = current or await take(store, next(epochs))
+            if fetched is None:
+                await current.open(step, PROMPTS)
+                fill(current, step, retained)
+                if isinstance(await current.seal(step), Failure):
+                    continue
+                answer = await current.fetch(step)
+                if isinstance(answer, Failure):
+                    await current.reopen(step)
+                    continue
+                fetched = answer
+            failure = await current.acknowledge(step, fetched.digest)
+            if failure is None:
+                used.append((step, fetched.digest, orjson.loads(fetched.body)))
+                fetched = None
+            elif failure.code == ResultCode.STEP_RESEALED:
+                fetched = None
+        except KilledError:
+            current = None
+            if not keep_retained:
+                retained.clear()
+    final = holder(store, next(epochs))
+    await final.take_over(9)
+    check_used(used, final._ledger.state)
+
+
+@pytest.mark.parametrize("keep_retained", [True, False])
+@pytest.mark.parametrize(
+    "fault", ["killed before", "killed after", "not written", "lost answer"]
+)
+@pytest.mark.parametrize("write", range(1, 8))
+def test_a_fault_at_any_write_neither_loses_nor_repeats_a_sample(
+    write, fault, keep_retained
+):
+    # The writes are: take-over, then manifest, ledger, acknowledgement of
+    # each step. Guards the gap between each pair of them.
+    store = CutStore(write, fault)
+    run(lambda: train(store, 2, keep_retained))
+    assert store.left <= 0
+
+
+def test_killed_trainer_fetches_the_same_bytes_before_it_acknowledged():
+    async def check():
+        store = StandinObjectStore()
+        first = await take(store, 1)
+        retained = await sealed(first)
+        before = await first.fetch(0)
+        assert await first.fetch(0) == before
+        second = await take(store, 2)
+        await second.open(0, PROMPTS)
+        fill(second, 0, retained)
+        assert await second.fetch(0) == before
+
+    run(check)
+
+
+def test_killed_trainer_gets_the_same_answer_after_it_acknowledged():
+    async def check():
+        store = StandinObjectStore()
+        first = await take(store, 1)
+        await sealed(first)
+        digest = (await first.fetch(0)).digest
+        assert await first.acknowledge(0, digest) is None
+        assert await first.acknowledge(0, digest) is None
+        assert (await first.fetch(0)).code == ResultCode.STEP_ACKNOWLEDGED
+        second = await take(store, 2)
+        assert await second.acknowledge(0, digest) is None
+        assert (await second.fetch(0)).code == ResultCode.STEP_ACKNOWLEDGED
+        other = await second.acknowledge(0, "other")
+        assert other.code == ResultCode.STEP_ACKNOWLEDGED
+
+    run(check)
+
+
+def test_superseded_holder_can_neither_seal_nor_acknowledge():
+    async def check():
+        store = StandinObjectStore()
+        first = await take(store, 1)
+        await sealed(first)
+        digest = (await first.fetch(0)).digest
+        second = await take(store, 2)
+        refused = await first.acknowledge(0, digest)
+        assert refused.code == ResultCode.NOT_JOB_HOLDER
+        assert second._ledger.state.next_step == 0
+        # A holder that starts late with a lower epoch must not take it back.
+        late = await holder(store, 1).take_over(1)
+        assert late.code == ResultCode.NOT_JOB_HOLDER
+
+    run(check)
+
+
+def test_first_of_two_samples_for_a_slot_is_kept():
+    async def check():
+        handover = await take(StandinObjectStore(), 1)
+        await handover.open(0, PROMPTS)
+        slot = handover.steps_by_number[0].collector.missing()[0]
+        first, second = (sample(handover.next_id(slot)) for _ in range(2))
+        assert handover.add(first) is None
+        assert handover.add(second).code == ResultCode.STEP_CONFLICT
+        held = handover.steps_by_number[0].collector.samples_by_slot
+        assert held == {slot: first}
+
+    run(check)
+
+
+def test_stale_or_unknown_sample_is_never_taken():
+    async def check():
+        handover = await take(StandinObjectStore(), 1)
+        await handover.open(0, PROMPTS)
+        slot = handover.steps_by_number[0].collector.missing()[0]
+        handover.see_versions(("v5",))
+        for version, code in (
+            ("v3", ResultCode.SAMPLE_STALE),
+            ("", ResultCode.VERSION_UNKNOWN),
+            ("none", ResultCode.VERSION_UNKNOWN),
+        ):
+            made = sample(handover.next_id(slot), version)
+            assert handover.add(made).code == code
+        assert handover.add(sample(handover.next_id(slot), "v4")) is None
+
+    run(check)
+
+
+def test_sample_that_became_stale_is_replaced_before_the_seal():
+    async def check():
+        handover = await take(StandinObjectStore(), 1)
+        await handover.open(0, PROMPTS)
+        fill(handover, 0, [])
+        handover.see_versions(("v3",))
+        refused = await handover.seal(0)
+        assert refused.code == ResultCode.STEP_INCOMPLETE
+        assert len(handover.steps_by_number[0].collector.missing()) == 4
+
+    run(check)
+
+
+@pytest.mark.parametrize("at", ["fetch", "acknowledge"])
+def test_sealed_step_that_became_stale_opens_the_next_generation(at):
+    async def check():
+        store = StandinObjectStore()
+        handover = await take(store, 1)
+        await sealed(handover)
+        old = (await handover.fetch(0)).digest
+        handover.see_versions(("v3",))
+        if at == "fetch":
+            refused = await handover.fetch(0)
+            assert refused.code == ResultCode.STEP_INCOMPLETE
+        refused = await handover.acknowledge(0, old)
+        assert refused.code == ResultCode.STEP_RESEALED
+        fill(handover, 0, [], "v3")
+        assert await handover.seal(0) is None
+        new = await handover.fetch(0)
+        assert orjson.loads(new.body)["generation"] == 2
+        refused = await handover.acknowledge(0, old)
+        assert refused.code == ResultCode.STEP_RESEALED
+        assert await handover.acknowledge(0, new.digest) is None
+
+    run(check)
+
+
+def test_newest_version_survives_the_holder():
+    # A new holder whose engines have not reported yet must not think that an
+    # older version is the newest.
+    async def check():
+        store = StandinObjectStore()
+        first = await take(store, 1)
+        await sealed(first)
+        digest = (await first.fetch(0)).digest
+        first.see_versions(("v9",))
+        assert await first._ledger.flush() is None
+        second = await take(store, 2)
+        refused = await second.acknowledge(0, digest)
+        assert refused.code == ResultCode.STEP_RESEALED
+
+    run(check)
+
+
+def test_step_stays_sealed_while_the_store_is_down_at_acknowledgement():
+    async def check():
+        store = StandinObjectStore()
+        handover = await take(store, 1)
+        await sealed(handover)
+        answer = await handover.fetch(0)
+        store.faults = StoreFaults(down=True)
+        refused = await handover.acknowledge(0, answer.digest)
+        assert refused.code == ResultCode.STORE_UNAVAILABLE
+        assert await handover.fetch(0) == answer
+        store.faults = StoreFaults()
+        assert await handover.acknowledge(0, answer.digest) is None
+
+    run(check)
+
+
+def test_prompts_steps_and_order_are_checked():
+    async def check():
+        handover = await take(StandinObjectStore(), 1)
+        await sealed(handover, 0)
+        await sealed(handover, 1)
+        later = (await handover.fetch(1)).digest
+        for refused, code in (
+            (await handover.open(0, ("a", "c")), ResultCode.STEP_CONFLICT),
+            (await handover.open(0, ("a",)), ResultCode.BAD_REQUEST),
+            (await handover.open(9, PROMPTS), ResultCode.STEP_OUT_OF_ORDER),
+            (await handover.fetch(2), ResultCode.STEP_UNKNOWN),
+            (
+                await handover.acknowledge(1, later),
+                ResultCode.STEP_OUT_OF_ORDER,
+            ),
+        ):
+            assert refused.code == code
+
+    run(check)
+
+
+class HandoverMachine(RuleBasedStateMachine):
+    """Trainer, holders and store in any order, against a list of steps used."""
+
+    def __init__(self):
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.store = StandinObjectStore()
+        self.epoch = 0
+        self.newest = 1
+        self.retained = []
+        self.used = []
+        self.fetched = None
+        self.in_doubt = False
+        self.old = None
+        self.current = None
+
+    def wait(self, coroutine):
+        return self.loop.run_until_complete(coroutine)
+
+    @property
+    def step(self):
+        return len(self.used)
+
+    @initialize()
+    def start(self):
+        self.change_holder(lose=False)
+
+    @rule(lose=st.booleans())
+    def change_holder(self, lose):
+        self.epoch += 1
+        new = holder(self.store, self.epoch)
+        if self.wait(new.take_over(self.epoch)) is None:
+            self.old, self.current = self.current, new
+        if lose:
+            self.retained = self.retained[1:]
+
+    @rule(
+        late=st.booleans(),
+        whole=st.booleans(),
+        age=st.sampled_from([0, 0, 0, 1, 2, None]),
+    )
+    def prepare(self, late, whole, age):
+        """Opens the step and makes samples, in part or as a whole."""
+        at = self.old if late else self.current
+        if at is None or self.wait(at.open(self.step, PROMPTS)) is not None:
+            return
+        step = at.steps_by_number[self.step]
+        for kept in self.retained:
+            at.add(kept)
+        if step.manifest is None:
+            version = "" if age is None else f"v{max(1, self.newest - age)}"
+            missing = step.collector.missing()
+            for slot in missing if whole else missing[:1]:
+                made = sample(at.next_id(slot), version)
+                at.add(made)
+                self.retained.append(made._replace(score=None))
+        elif whole and not step.is_ready:
+            self.wait(at.reopen(self.step))
+        if whole:
+            self.wait(at.seal(self.step))
+
+    @rule()
+    def publish(self):
+        self.newest += 1
+        if self.current:
+            self.current.see_versions((f"v{self.newest}",))
+
+    @rule(late=st.booleans())
+    def fetch(self, late):
+        at = self.old if late else self.current
+        if at and not self.in_doubt:
+            answer = self.wait(at.fetch(self.step))
+            if not isinstance(answer, Failure):
+                self.fetched = answer
+
+    @precondition(lambda self: self.fetched is not None)
+    @rule(late=st.booleans())
+    def acknowledge(self, late):
+        at = self.old if late else self.current
+        if at is None:
+            return
+        failure = self.wait(at.acknowledge(self.step, self.fetched.digest))
+        if failure is None:
+            body = orjson.loads(self.fetched.body)
+            for made in body["samples"]:
+                spans = [VersionSpan(**s) for s in made["weight_spans"]]
+                assert self.in_doubt or not at.versions.check(spans, 1)
+            self.used.append((self.step, self.fetched.digest, body))
+            self.fetched, self.in_doubt = None, False
+        elif failure.code == ResultCode.STEP_RESEALED:
+            self.fetched, self.in_doubt = None, False
+        else:
+            assert failure.code != ResultCode.STEP_ACKNOWLEDGED
+            self.in_doubt = True
+
+    @rule()
+    def repeat_acknowledgement(self):
+        if self.used and self.current:
+            step, digest, _ = self.used[-1]
+            failure = self.wait(self.current.acknowledge(step, digest))
+            assert failure is None or failure.code in (
+                ResultCode.STORE_UNAVAILABLE,
+                ResultCode.NOT_JOB_HOLDER,
+            )
+
+    @rule(
+        faults=st.sampled_from(
+            [
+                StoreFaults(),
+                StoreFaults(),
+                StoreFaults(),
+                StoreFaults(down=True),
+                StoreFaults(lost_answers=1.0),
+                StoreFaults(late_writes=3),
+                StoreFaults(lost_answers=0.5, late_writes=1),
+            ]
+        )
+    )
+    def break_store(self, faults):
+        self.store.faults = faults
+
+    @rule()
+    def deliver_late(self):
+        self.wait(self.store.deliver_late())
+
+    @rule()
+    def flush(self):
+        if self.current:
+            self.wait(self.current._ledger.flush())
+
+    @invariant()
+    def used_steps_are_the_ledgers(self):
+        held = self.store._objects_by_key.get("ledger/job")
+        state = LedgerState.from_value(held and orjson.loads(held.value))
+        counted = self.used
+        if state.next_step == len(self.used) + 1:
+            # The acknowledgement took effect, but its answer was lost.
+            assert self.in_doubt
+            assert state.acknowledged[self.step].digest == self.fetched.digest
+            body = orjson.loads(self.fetched.body)
+            counted = [*counted, (self.step, self.fetched.digest, body)]
+        check_used(counted, state)
+
+    def teardown(self):
+        self.loop.close()
+
+
+TestHandoverMachine = HandoverMachine.TestCase
+TestHandoverMachine.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=60, deadline=None
+)
