Retain samples in sidecars and run steps in the entry

Cause: a step's samples have to survive their holder, and trainers need routes. Change: sidecars keep rollout answers up to 32 MB, run on when the asking entry dies and offer the samples to the next holder; the entry's rollout service fills, scores and seals steps over the gateway; trainer routes over it. Conclusion: a new holder takes scores from the manifest, not from the scorer.

--- a/apps/entry/src/shallotstand/entry/gateway.py
+++ b/apps/entry/src/shallotstand/entry/gateway.py
@@ -37,6 +37,10 @@
       body: Body of the request.
       priority: `interactive` or `rollout`.
       request_id: Identifier for logs; new if the caller sent none.
+      account: Client account of a request that shallotstand itself makes for
+        a job; a front end never sets it.
+      excluded: Endpoints that must not run it.
+      retain: Whether the sidecar keeps the answer until it is released.
     """
 
     path: str
@@ -44,6 +48,9 @@
     body: bytes
     priority: str = "interactive"
     request_id: str = ""
+    account: str = ""
+    excluded: frozenset[str] = frozenset()
+    retain: bool = False
 
 
 class Route(NamedTuple):
@@ -160,6 +167,24 @@
                     ResultCode.STREAM_KEY_WITHDRAWN, "The key was withdrawn."
                 )
 
+    @property
+    def catalog(self) -> Catalog:
+        """The configuration in force."""
+        return self._catalog
+
+    def account_of(self, secret: str) -> str | Failure:
+        """Returns the name of the client account that has the key.
+
+        Errors:
+          KEY_MISSING, KEY_UNKNOWN: There is none.
+        """
+        if not secret:
+            return Failure(ResultCode.KEY_MISSING, "Send a bearer key.")
+        key = self._keys.find(secret)
+        if key is None:
+            return Failure(ResultCode.KEY_UNKNOWN, "The key is not known.")
+        return key.account
+
     async def serve(self, request: CallerRequest) -> OpenAnswer | Failure:
         """Runs a request until the first part of its answer has arrived.
 
@@ -182,7 +207,7 @@
         route = self._find_route(request)
         if isinstance(route, Failure):
             return route
-        principal = self._authenticate(request.key, route.service)
+        principal = self._authenticate(request, route.service)
         if isinstance(principal, Failure):
             return principal
         deadline = self._clock.monotonic() + route.service.deadline_s
@@ -253,13 +278,18 @@
         )
 
     def _authenticate(
-        self, secret: str, service: Service
+        self, request: CallerRequest, service: Service
     ) -> Principal | Failure:
+        if request.account:
+            account = self._catalog.accounts_by_name.get(request.account)
+            if account is None:
+                return Failure(ResultCode.NOT_ALLOWED, "No such account.")
+            return Principal(account, None)
         if service.open:
             return Principal(None, None)
-        if not secret:
+        if not request.key:
             return Failure(ResultCode.KEY_MISSING, "Send a bearer key.")
-        key = self._keys.find(secret)
+        key = self._keys.find(request.key)
         if key is None:
             return Failure(ResultCode.KEY_UNKNOWN, "The key is not known.")
         account = self._catalog.accounts_by_name[key.account]
@@ -280,7 +310,7 @@
         """Sends the request to endpoints until one answers or none may."""
         self._retries.on_request()
         message = _message(request, route, principal)
-        excluded: frozenset[str] = frozenset()
+        excluded = request.excluded
         while True:
             left = deadline - self._clock.monotonic()
             outcome = await self._send_once(message, route, excluded, left)
@@ -398,4 +428,5 @@
         whole_answer=route.whole_answer,
         fingerprint=fingerprint(route.service.name, route.path, route.fields),
         not_run_statuses=route.service.not_run_statuses,
+        retain=request.retain,
     )
--- /dev/null
+++ b/apps/entry/src/shallotstand/entry/rollout_service.py
@@ -0,0 +1,486 @@
+"""Runs the steps of rollout jobs; knows nothing of HTTP."""
+
+import asyncio
+import itertools
+import random
+from collections.abc import Callable, Coroutine, Iterable
+from typing import Any, Protocol
+
+import orjson
+from absl import logging
+from shallotstand.core import logs
+from shallotstand.core.clock import Clock
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.entry.gateway import CallerRequest, Gateway, OpenAnswer
+from shallotstand.entry.scorer import Scorer
+from shallotstand.entry.sidecars import Fleet
+from shallotstand.link.messages import RetainedSample, SampleOffer, Span
+from shallotstand.objects.types import Catalog, RolloutJob
+from shallotstand.platform.protocols import ObjectStore
+from shallotstand.rollout.handover import Handover, OpenStep, StepBody
+from shallotstand.rollout.lease import JobLease
+from shallotstand.rollout.ledger import JobLedger
+from shallotstand.rollout.samples import Sample, VersionSpan
+from shallotstand.rollout.slots import SampleId, Slot
+from shallotstand.rollout.staleness import ModelVersions
+
+# Sidecars that dial a restarted entry need this long to offer their samples.
+RETAINED_WAIT_S = 5.0
+# Requests of a job that wait for admission or run at once.
+MAX_IN_FLIGHT = 512
+_STORE_RETRY_S = 1.0
+_RETRY_MIN_S = 0.1
+_RETRY_MAX_S = 5.0
+_STRAGGLER_CHECK_S = 1.0
+_COMPLETIONS = "/v1/completions"
+
+
+class JobService:
+    """One rollout job, while this entry may lead it.
+
+    Attributes:
+      job: The job.
+      lease: Says whether this entry leads it.
+    """
+
+    def __init__(
+        self,
+        job: RolloutJob,
+        store: ObjectStore,
+        lease: JobLease,
+        gateway: Gateway,
+        fleet: Fleet,
+        clock: Clock,
+    ):
+        self.job = job
+        self.lease = lease
+        self._gateway = gateway
+        self._fleet = fleet
+        self._clock = clock
+        self._scorer = Scorer(job, gateway)
+        self._ledger = JobLedger(store, job.name, lease)
+        self._handover = Handover(job, self._ledger, ModelVersions({}))
+        self._led_epoch = 0
+        self._led_since = 0.0
+        self._places = asyncio.Semaphore(MAX_IN_FLIGHT)
+        self._taking_over = asyncio.Lock()
+        self._tasks: set[asyncio.Task] = set()
+        self._rng = random.Random()
+
+    async def run(self) -> None:
+        """Takes the job over whenever the lease is won, until cancelled."""
+        batches = asyncio.create_task(self._ledger.run_batches())
+        try:
+            while True:
+                failure = await self._lead()
+                if failure is None:
+                    await asyncio.sleep(self.lease.time_left_s)
+                elif failure.code == ResultCode.NOT_JOB_HOLDER:
+                    await self.lease.wait_held()
+                else:
+                    await asyncio.sleep(_STORE_RETRY_S)
+        finally:
+            for task in (batches, *self._tasks):
+                task.cancel()
+
+    async def post(
+        self, number: int, groups: list[dict[str, Any]]
+    ) -> Failure | None:
+        """Opens a step and starts to generate it; may be repeated.
+
+        Args:
+          number: Number of the step.
+          groups: Fields of the completion for each group, with its prompt.
+
+        Errors:
+          NOT_JOB_HOLDER: Another entry leads the job.
+          Those of `Handover.open`.
+        """
+        failure = await self._lead()
+        if failure is not None:
+            return failure
+        prompts = tuple(
+            orjson.dumps(group, option=orjson.OPT_SORT_KEYS).decode()
+            for group in groups
+        )
+        before = self._handover.steps_by_number.get(number)
+        failure = await self._handover.open(number, prompts)
+        if failure is not None:
+            return failure
+        step = self._handover.steps_by_number[number]
+        if step is not before:
+            self._fleet.ask_samples(self.job.name)
+            self._start(self._run_step(number, step))
+        return None
+
+    async def fetch(self, number: int, wait_s: float) -> StepBody | Failure:
+        """Returns a step, after waiting for its seal.
+
+        Errors:
+          NOT_JOB_HOLDER: Another entry leads the job.
+          Those of `Handover.fetch`.
+        """
+        failure = await self._lead()
+        if failure is not None:
+            return failure
+        step = self._handover.steps_by_number.get(number)
+        if step is not None and wait_s > 0:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await step.ready.wait()
+            except TimeoutError:
+                pass  # the answer is STEP_INCOMPLETE
+            failure = await self._lead()
+            if failure is not None:
+                return failure
+        return await self._handover.fetch(number)
+
+    async def acknowledge(self, number: int, digest: str) -> Failure | None:
+        """Records that the trainer uses a step.
+
+        Errors:
+          NOT_JOB_HOLDER: Another entry leads the job.
+          Those of `Handover.acknowledge`.
+        """
+        failure = await self._lead()
+        if failure is not None:
+            return failure
+        failure = await self._handover.acknowledge(number, digest)
+        if failure is None:
+            self._fleet.release_samples(self.job.name, number)
+        return failure
+
+    def take_retained(self, sample: RetainedSample, name: SampleId) -> None:
+        """Takes a sample that a sidecar kept."""
+        step = self._handover.steps_by_number.get(name.slot.step)
+        if step is None or name.slot in step.collector.samples_by_slot:
+            return
+        made = _sample(
+            name,
+            sample.data,
+            sample.spans,
+            sample.prompt_tokens,
+            sample.completion_tokens,
+        )
+        if isinstance(made, Failure):
+            return
+        # A sealed step takes the scores from its manifest.
+        if step.manifest is not None:
+            self._handover.add(made)
+        else:
+            self._start(self._score_and_add(step, made))
+
+    async def _lead(self) -> Failure | None:
+        """Makes sure that this entry leads the job, and reads its state."""
+        async with self._taking_over:
+            if not self.lease.is_held:
+                self._led_epoch = 0
+                self._handover.lose()
+                return Failure(
+                    ResultCode.NOT_JOB_HOLDER, self.lease.holder_address
+                )
+            epoch = self.lease.epoch
+            if self._led_epoch != epoch:
+                failure = await self._handover.take_over(epoch)
+                if failure is not None:
+                    return failure
+                self._led_epoch = epoch
+                self._led_since = self._clock.monotonic()
+                logs.event(
+                    logging.INFO, "Leads job", job=self.job.name, epoch=epoch
+                )
+            self._see_versions()
+            return None
+
+    def _see_versions(self) -> None:
+        catalog = self._gateway.catalog
+        service = catalog.services_by_name.get(self.job.service)
+        model = service.model if service else ""
+        self._handover.versions = ModelVersions.from_config(
+            catalog, model, self._handover.versions.newest
+        )
+        self._handover.see_versions(
+            tuple(
+                endpoint.report.version
+                for endpoint in self._fleet.endpoints(self.job.service).values()
+            )
+        )
+
+    def _is_open(self, number: int, step: OpenStep) -> bool:
+        return self._handover.steps_by_number.get(number) is step
+
+    async def _run_step(self, number: int, step: OpenStep) -> None:
+        """Fills and seals a step until it is acknowledged or lost."""
+        tasks: dict[Slot, asyncio.Task] = {}
+        await self._wait_for_retained(step)
+        try:
+            while self._is_open(number, step):
+                step.changed.clear()
+                wait_s: float | None = None
+                if step.is_ready:
+                    pass
+                elif step.manifest is not None:
+                    # The sidecars have had their time to offer its samples.
+                    await self._handover.reopen(number)
+                    wait_s = _STORE_RETRY_S
+                elif step.collector.is_full:
+                    self._see_versions()
+                    if await self._handover.seal(number) is not None:
+                        wait_s = _STORE_RETRY_S
+                else:
+                    self._fill(step, tasks)
+                    wait_s = _STRAGGLER_CHECK_S
+                await _wait(step.changed, wait_s)
+        finally:
+            for task in tasks.values():
+                task.cancel()
+
+    async def _wait_for_retained(self, step: OpenStep) -> None:
+        """Waits for samples of an earlier holder, if there was one."""
+        if self._led_epoch <= 1:
+            return
+        waited = self._clock.monotonic() - self._led_since
+        left = max(0.0, RETAINED_WAIT_S - waited)
+        if step.manifest is not None:
+            left = RETAINED_WAIT_S
+        await _wait(step.ready, left)
+
+    def _fill(self, step: OpenStep, tasks: dict[Slot, asyncio.Task]) -> None:
+        """Starts what is missing, and second attempts for stragglers."""
+        now = self._clock.monotonic()
+        missing = step.collector.missing()
+        for slot in [s for s in tasks if tasks[s].done()]:
+            del tasks[slot]
+        for slot in missing:
+            if slot not in tasks:
+                tasks[slot] = self._start(self._fill_slot(step, slot))
+        for slot in step.collector.stragglers(now, self._idle_engine_slots()):
+            self._start(self._attempt(step, slot))
+
+    def _idle_engine_slots(self) -> int:
+        return sum(
+            max(0, e.report.slots - e.report.running - e.report.queued)
+            for e in self._fleet.endpoints(self.job.service).values()
+        )
+
+    async def _fill_slot(self, step: OpenStep, slot: Slot) -> None:
+        """Makes attempts until the slot has a sample."""
+        for attempt in itertools.count():
+            async with self._places:
+                if self._is_filled(step, slot):
+                    return
+                failure = await self._attempt(step, slot)
+            if failure is None or self._is_filled(step, slot):
+                return
+            delay = min(_RETRY_MAX_S, _RETRY_MIN_S * 2 ** min(attempt, 8))
+            await asyncio.sleep(delay * self._rng.uniform(0.5, 1.5))
+
+    def _is_filled(self, step: OpenStep, slot: Slot) -> bool:
+        return (
+            not self._is_open(slot.step, step)
+            or slot in step.collector.samples_by_slot
+        )
+
+    async def _attempt(self, step: OpenStep, slot: Slot) -> Failure | None:
+        """Generates, scores and adds one sample."""
+        if self._is_filled(step, slot):
+            return None
+        self._see_versions()
+        name = self._handover.next_id(slot)
+        collector = step.collector
+        collector.begin(name, self._clock.monotonic())
+        made: Sample | Failure | None = None
+        try:
+            made = await self._generate(step, name)
+        finally:
+            succeeded = isinstance(made, Sample)
+            collector.finish(name, self._clock.monotonic(), succeeded)
+        if isinstance(made, Failure):
+            return made
+        return await self._score_and_add(step, made)
+
+    async def _generate(
+        self, step: OpenStep, name: SampleId
+    ) -> Sample | Failure:
+        service = self._gateway.catalog.services_by_name.get(self.job.service)
+        if service is None:
+            return Failure(ResultCode.ROUTE_UNKNOWN, self.job.service)
+        fields = orjson.loads(step.prompts[name.slot.group])
+        body = fields | {"model": service.name, "stream": False}
+        answer = await self._gateway.serve(
+            CallerRequest(
+                _COMPLETIONS,
+                "",
+                orjson.dumps(body),
+                "rollout",
+                name.to_text(),
+                self.job.account,
+                self._unfit_endpoints(),
+                retain=True,
+            )
+        )
+        if isinstance(answer, Failure):
+            return answer
+        try:
+            return _sample_of(name, answer)
+        finally:
+            answer.close()
+
+    def _unfit_endpoints(self) -> frozenset[str]:
+        """Returns the endpoints whose samples would be stale at once."""
+        versions, bound = self._handover.versions, self.job.staleness_bound
+        return frozenset(
+            name
+            for name, endpoint in self._fleet.endpoints(
+                self.job.service
+            ).items()
+            if not versions.may_start(endpoint.report.version, bound)
+        )
+
+    async def _score_and_add(
+        self, step: OpenStep, made: Sample
+    ) -> Failure | None:
+        """Adds a sample; one without a score waits for its scorer."""
+        slot = made.sample_id.slot
+        delay = _RETRY_MIN_S
+        while self.job.scorer and not self._is_filled(step, slot):
+            prompt = orjson.loads(step.prompts[slot.group])["prompt"]
+            score = await self._scorer.score(prompt, made.text)
+            if not isinstance(score, Failure):
+                made = made._replace(score=score)
+                break
+            logs.event(logging.WARNING, "No score", reason=score.reason)
+            await asyncio.sleep(delay)
+            delay = min(2 * delay, _RETRY_MAX_S)
+        if self._is_filled(step, slot):
+            return None
+        self._see_versions()
+        failure = self._handover.add(made)
+        if failure is not None:
+            step.changed.set()
+        return failure
+
+    def _start(self, work: Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+
+class Keeper(Protocol):
+    """Keeps a lease."""
+
+    async def keep(self) -> None:
+        """Renews or takes the lease until cancelled."""
+        ...
+
+
+class RolloutService:
+    """All rollout jobs of the configuration.
+
+    Attributes:
+      jobs_by_name: The jobs.
+    """
+
+    def __init__(self) -> None:
+        self.jobs_by_name: dict[str, JobService] = {}
+        self._tasks_by_name: dict[str, list[asyncio.Task]] = {}
+
+    def adopt(
+        self,
+        catalog: Catalog,
+        make_job: Callable[[RolloutJob], tuple[JobService, Keeper]],
+    ) -> None:
+        """Runs the jobs of a configuration; changed jobs start anew.
+
+        Args:
+          catalog: The configuration.
+          make_job: Makes a job's service and what keeps its lease.
+        """
+        wanted = catalog.jobs_by_name
+        for name, service in list(self.jobs_by_name.items()):
+            if wanted.get(name) != service.job:
+                self._end(name)
+        for name in wanted.keys() - self.jobs_by_name.keys():
+            service, lease = make_job(wanted[name])
+            self.jobs_by_name[name] = service
+            self._tasks_by_name[name] = [
+                asyncio.create_task(service.run()),
+                asyncio.create_task(lease.keep()),
+            ]
+
+    def close(self) -> None:
+        """Ends all jobs here; their leases lapse."""
+        for name in list(self.jobs_by_name):
+            self._end(name)
+
+    def _end(self, name: str) -> None:
+        del self.jobs_by_name[name]
+        for task in self._tasks_by_name.pop(name):
+            task.cancel()
+
+    def find(self, job: str, account: str) -> JobService | Failure:
+        """Returns a job for its trainer.
+
+        Errors:
+          JOB_UNKNOWN: There is no such job.
+          NOT_ALLOWED: It belongs to another client account.
+        """
+        service = self.jobs_by_name.get(job)
+        if service is None:
+            return Failure(ResultCode.JOB_UNKNOWN, f"No job {job!r}.")
+        if service.job.account != account:
+            return Failure(ResultCode.NOT_ALLOWED, "Not this account's job.")
+        return service
+
+    def take_offer(self, offer: SampleOffer) -> None:
+        """Gives retained samples to their jobs."""
+        for sample in offer.samples:
+            name = SampleId.from_text(sample.request_id)
+            if isinstance(name, Failure):
+                continue
+            service = self.jobs_by_name.get(name.slot.job)
+            if service is not None and service.lease.is_held:
+                service.take_retained(sample, name)
+
+
+async def _wait(event: asyncio.Event, timeout_s: float | None) -> None:
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        return
+
+
+def _sample_of(name: SampleId, answer: OpenAnswer) -> Sample | Failure:
+    last = answer.stream.last
+    if last is None or not last.spans:
+        return Failure(ResultCode.VERSION_UNKNOWN, "No weight versions.")
+    return _sample(
+        name,
+        last.data,
+        last.spans,
+        last.prompt_tokens,
+        last.completion_tokens,
+    )
+
+
+def _sample(
+    name: SampleId,
+    data: bytes,
+    spans: Iterable[Span],
+    prompt_tokens: int,
+    completion_tokens: int,
+) -> Sample | Failure:
+    try:
+        text = orjson.loads(data)["choices"][0]["text"]
+    except (ValueError, KeyError, IndexError, TypeError):
+        return Failure(ResultCode.ENDPOINT_BAD_ANSWER, "Not a completion.")
+    return Sample(
+        name,
+        text,
+        tuple(VersionSpan(*span) for span in spans),
+        prompt_tokens,
+        completion_tokens,
+    )
--- a/apps/entry/src/shallotstand/entry/sidecars.py
+++ b/apps/entry/src/shallotstand/entry/sidecars.py
@@ -18,6 +18,9 @@
     Frames,
     Load,
     Request,
+    SampleAsk,
+    SampleOffer,
+    SampleRelease,
     Submit,
 )
 from shallotstand.link.node import PeerConnection
@@ -119,6 +122,10 @@
                     "The sidecar has gone.",
                 )
 
+    def send(self, message: SampleAsk | SampleRelease) -> None:
+        """Sends a message about retained samples."""
+        self._link.send(message)
+
     async def read(self, fleet: "Fleet") -> None:
         """Handles the sidecar's messages until the connection ends."""
         async for message in self._peer.messages():
@@ -135,6 +142,8 @@
                         self._take_report(report, fleet)
                 case Crash():
                     fleet.on_crash(message)
+                case SampleOffer():
+                    fleet.on_samples(message)
 
     def end_all(self) -> None:
         """Ends every stream after the connection was lost."""
@@ -169,10 +178,12 @@
     Attributes:
       capacity: Called as capacity(service, slots).
       crash: Called as crash(message) with a Crash message.
+      samples: Called as samples(message) with a SampleOffer message.
     """
 
     capacity: Callable[[str, int], None]
     crash: Callable[[Crash], None]
+    samples: Callable[[SampleOffer], None] = lambda _: None
 
 
 class Fleet:
@@ -181,12 +192,15 @@
     def __init__(self, listener: FleetListener):
         self._listener = listener
         self._connections_by_id: dict[str, SidecarConnection] = {}
+        self._asked_jobs: set[str] = set()
 
     async def serve(self, peer: PeerConnection) -> None:
         """Keeps a sidecar's connection until it ends."""
         connection = SidecarConnection(peer)
         hello = peer.hello
         self._connections_by_id[hello.process_id] = connection
+        for job in self._asked_jobs:
+            connection.send(SampleAsk(job))
         try:
             await connection.read(self)
         finally:
@@ -205,6 +219,21 @@
             if endpoint.info.service == service
         }
 
+    def ask_samples(self, job: str) -> None:
+        """Asks every sidecar, now or later connected, for a job's samples."""
+        self._asked_jobs.add(job)
+        for connection in self._connections_by_id.values():
+            connection.send(SampleAsk(job))
+
+    def release_samples(self, job: str, step: int) -> None:
+        """Lets the sidecars drop a job's samples up to a step."""
+        for connection in self._connections_by_id.values():
+            connection.send(SampleRelease(job, step))
+
+    def on_samples(self, offer: SampleOffer) -> None:
+        """Passes retained samples to the listener."""
+        self._listener.samples(offer)
+
     def on_capacity(self, service: str) -> None:
         """Tells the listener how many requests a service runs at once."""
         slots = sum(
--- /dev/null
+++ b/apps/entry/src/shallotstand/entry/trainer_front.py
@@ -0,0 +1,119 @@
+"""The HTTP routes of trainers, over the rollout service."""
+
+from typing import Any
+
+import orjson
+from sanic import Request as HttpRequest
+from sanic import Sanic
+from sanic.response import HTTPResponse, raw
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.entry.gateway import Gateway
+from shallotstand.entry.http_front import bearer_key, failure_response
+from shallotstand.entry.rollout_service import JobService, RolloutService
+
+_JSON = "application/json"
+_ACCEPTED_STATUS = 202
+# Below the idle limit of common load balancers, 60 s.
+MAX_WAIT_S = 50.0
+
+
+def add_trainer_routes(
+    app: Sanic, gateway: Gateway, rollouts: RolloutService
+) -> None:
+    """Adds the routes below `/v1/jobs` to an application."""
+
+    @app.post("/v1/jobs/<job:str>/steps/<number:int>")
+    async def post(request: HttpRequest, job: str, number: int) -> HTTPResponse:
+        service = _find(request, job, gateway, rollouts)
+        if isinstance(service, Failure):
+            return failure_response(service)
+        groups = _groups(request.body)
+        if isinstance(groups, Failure):
+            return failure_response(groups)
+        failure = await service.post(number, groups)
+        if failure is not None:
+            return _refusal(failure)
+        return raw(b"{}", status=_ACCEPTED_STATUS, content_type=_JSON)
+
+    @app.get("/v1/jobs/<job:str>/steps/<number:int>")
+    async def fetch(
+        request: HttpRequest, job: str, number: int
+    ) -> HTTPResponse:
+        service = _find(request, job, gateway, rollouts)
+        if isinstance(service, Failure):
+            return failure_response(service)
+        try:
+            wait_s = float(request.args.get("wait", 0))
+        except ValueError:
+            return failure_response(
+                Failure(ResultCode.BAD_REQUEST, "wait is in seconds.")
+            )
+        step = await service.fetch(number, min(wait_s, MAX_WAIT_S))
+        if isinstance(step, Failure):
+            return _refusal(step)
+        return raw(
+            step.body,
+            headers={"ETag": f'"{step.digest}"'},
+            content_type=_JSON,
+        )
+
+    @app.post("/v1/jobs/<job:str>/steps/<number:int>/ack")
+    async def acknowledge(
+        request: HttpRequest, job: str, number: int
+    ) -> HTTPResponse:
+        service = _find(request, job, gateway, rollouts)
+        if isinstance(service, Failure):
+            return failure_response(service)
+        digest = _object(request.body).get("digest")
+        if not isinstance(digest, str):
+            return failure_response(
+                Failure(ResultCode.BAD_REQUEST, "The digest is missing.")
+            )
+        failure = await service.acknowledge(number, digest.strip('"'))
+        if failure is not None:
+            return _refusal(failure)
+        return raw(
+            orjson.dumps({"step": number, "digest": digest.strip('"')}),
+            content_type=_JSON,
+        )
+
+
+def _find(
+    request: HttpRequest, job: str, gateway: Gateway, rollouts: RolloutService
+) -> JobService | Failure:
+    if gateway.refusal is not None:
+        return gateway.refusal
+    account = gateway.account_of(bearer_key(request.headers))
+    if isinstance(account, Failure):
+        return account
+    return rollouts.find(job, account)
+
+
+def _object(body: bytes) -> dict[str, Any]:
+    """Returns the JSON object; empty if the body is none."""
+    try:
+        fields = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return {}
+    return fields if isinstance(fields, dict) else {}
+
+
+def _groups(body: bytes) -> list[dict[str, Any]] | Failure:
+    groups = _object(body).get("groups")
+    if not isinstance(groups, list) or not all(
+        isinstance(group, dict) and isinstance(group.get("prompt"), str)
+        for group in groups
+    ):
+        return Failure(
+            ResultCode.BAD_REQUEST, "groups is a list of objects with prompt."
+        )
+    return groups
+
+
+def _refusal(failure: Failure) -> HTTPResponse:
+    """Returns the answer; the holder's address is in a header of its own."""
+    response = failure_response(failure)
+    if failure.code == ResultCode.NOT_JOB_HOLDER:
+        response.headers["X-Job-Holder"] = failure.reason
+    return response
--- /dev/null
+++ b/apps/sidecar/src/shallotstand/sidecar/retained.py
@@ -0,0 +1,74 @@
+"""Finished samples kept until their step is acknowledged."""
+
+from collections import OrderedDict
+from collections.abc import Iterator
+
+from shallotstand.core.failure import Failure
+from shallotstand.link.messages import Frame, RetainedSample, SampleOffer
+from shallotstand.rollout.slots import SampleId
+
+# Half of the memory that a sidecar may use.
+RETAINED_LIMIT_BYTES = 32 * 1024 * 1024
+# Well below the limit of a message, so that offers don't hold up other
+# messages of the connection for long.
+_OFFER_BYTES = 1024 * 1024
+
+
+class RetainedSamples:
+    """Keeps samples by request id; the oldest go first.
+
+    Attributes:
+      size: Bytes of the samples' bodies.
+    """
+
+    def __init__(self, limit_bytes: int = RETAINED_LIMIT_BYTES):
+        self.size = 0
+        self._limit_bytes = limit_bytes
+        self._by_id: OrderedDict[str, RetainedSample] = OrderedDict()
+
+    def add(self, request_id: str, frame: Frame) -> None:
+        """Keeps the answer of a rollout request."""
+        if isinstance(SampleId.from_text(request_id), Failure):
+            return  # nobody could ask for it
+        self._drop(request_id)
+        self._by_id[request_id] = RetainedSample(
+            request_id,
+            frame.data,
+            frame.spans,
+            frame.prompt_tokens,
+            frame.completion_tokens,
+        )
+        self.size += len(frame.data)
+        while self.size > self._limit_bytes:
+            self._drop(next(iter(self._by_id)))
+
+    def get(self, request_id: str) -> RetainedSample | None:
+        """Returns a sample if it is still kept."""
+        return self._by_id.get(request_id)
+
+    def release(self, job: str, step: int) -> None:
+        """Drops the samples of a job's steps up to one."""
+        for request_id in list(self._by_id):
+            slot = SampleId.from_text(request_id).slot
+            if slot.job == job and slot.step <= step:
+                self._drop(request_id)
+
+    def offers(self, job: str) -> Iterator[SampleOffer]:
+        """Yields all samples of a job in messages of limited size."""
+        batch: list[RetainedSample] = []
+        size = 0
+        for request_id, sample in self._by_id.items():
+            if SampleId.from_text(request_id).slot.job != job:
+                continue
+            if batch and size + len(sample.data) > _OFFER_BYTES:
+                yield SampleOffer(tuple(batch))
+                batch, size = [], 0
+            batch.append(sample)
+            size += len(sample.data)
+        if batch:
+            yield SampleOffer(tuple(batch))
+
+    def _drop(self, request_id: str) -> None:
+        dropped = self._by_id.pop(request_id, None)
+        if dropped is not None:
+            self.size -= len(dropped.data)
--- a/apps/sidecar/src/shallotstand/sidecar/runner.py
+++ b/apps/sidecar/src/shallotstand/sidecar/runner.py
@@ -10,6 +10,7 @@
 from shallotstand.sidecar.attempts import SeenAttempts
 from shallotstand.sidecar.endpoint import LocalEndpoint
 from shallotstand.sidecar.outbox import Outbox
+from shallotstand.sidecar.retained import RetainedSamples
 from shallotstand.sidecar.usage_log import UsageLog
 
 _JSON = "application/json"
@@ -17,7 +18,12 @@
 
 
 class Runner:
-    """Runs requests and puts their answers into the outbox of the asker."""
+    """Runs requests and puts their answers into the outbox of the asker.
+
+    Attributes:
+      accepting: Whether new requests are run.
+      retained: Answers of rollout requests.
+    """
 
     def __init__(
         self,
@@ -30,6 +36,7 @@
         self._clock = clock
         self._seen = SeenAttempts()
         self.accepting = True
+        self.retained = RetainedSamples()
 
     async def run(self, request: Request, outbox: Outbox) -> None:
         """Runs one request to its end; cancelling it cancels the endpoint's."""
@@ -145,7 +152,10 @@
         number = (
             0 if failure else self._bill(endpoint, request, *collected.usage)
         )
-        outbox.end(_completion(request, collected, number, failure))
+        frame = _completion(request, collected, number, failure)
+        if request.retain and failure is None:
+            self.retained.add(request.request_id, frame)
+        outbox.end(frame)
 
     def _bill(
         self,
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -55,6 +55,7 @@
   suspect @11 :Bool;
   fingerprint @12 :Data;
   notRunStatuses @13 :List(UInt16);
+  retain @14 :Bool;
 }
 
 struct Submit {
@@ -178,6 +179,27 @@
   accounts @0 :List(AccountShare);
 }
 
+struct RetainedSample {
+  requestId @0 :Text;
+  data @1 :Data;
+  spans @2 :List(Span);
+  promptTokens @3 :UInt32;
+  completionTokens @4 :UInt32;
+}
+
+struct SampleAsk {
+  job @0 :Text;
+}
+
+struct SampleOffer {
+  samples @0 :List(RetainedSample);
+}
+
+struct SampleRelease {
+  job @0 :Text;
+  step @1 :UInt32;
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -197,5 +219,8 @@
     usageAck @14 :UsageAck;
     share @15 :Share;
     chunks @16 :Chunks;
+    sampleAsk @17 :SampleAsk;
+    sampleOffer @18 :SampleOffer;
+    sampleRelease @19 :SampleRelease;
   }
 }
--- a/libs/link/src/shallotstand/link/messages.py
+++ b/libs/link/src/shallotstand/link/messages.py
@@ -95,6 +95,8 @@
       suspect: The fingerprint ran on an endpoint when that crashed.
       fingerprint: Hash of what the request asks for.
       not_run_statuses: HTTP statuses by which the endpoint says "not run".
+      retain: Keep the answer until it is released, and run on if the entry
+        that asked is lost.
     """
 
     stream: int
@@ -111,6 +113,7 @@
     suspect: bool = False
     fingerprint: bytes = b""
     not_run_statuses: tuple[int, ...] = ()
+    retain: bool = False
 
 
 class Submit(NamedTuple):
@@ -331,6 +334,43 @@
     accounts: tuple[AccountShare, ...]
 
 
+class RetainedSample(NamedTuple):
+    """A finished answer that a sidecar keeps for the job's holder.
+
+    Attributes:
+      request_id: Id of the sample.
+      data: JSON body of the completion.
+      spans: Weight versions of the answer.
+      prompt_tokens: Tokens of the prompt.
+      completion_tokens: Tokens generated.
+    """
+
+    request_id: str
+    data: bytes
+    spans: tuple[Span, ...]
+    prompt_tokens: int
+    completion_tokens: int
+
+
+class SampleAsk(NamedTuple):
+    """Asks for retained samples of a job, now and as they finish."""
+
+    job: str
+
+
+class SampleOffer(NamedTuple):
+    """Retained samples, for the holder of their job."""
+
+    samples: tuple[RetainedSample, ...]
+
+
+class SampleRelease(NamedTuple):
+    """The steps of a job up to this one are acknowledged."""
+
+    job: str
+    step: int
+
+
 Message: TypeAlias = (
     Hello
     | Ping
@@ -349,4 +389,7 @@
     | UsageAck
     | Share
     | Chunks
+    | SampleAsk
+    | SampleOffer
+    | SampleRelease
 )
--- a/libs/rollout/src/shallotstand/rollout/handover.py
+++ b/libs/rollout/src/shallotstand/rollout/handover.py
@@ -40,7 +40,9 @@
       manifest: Manifest if the step is sealed.
       digest: Digest of the manifest; empty if the step is not sealed.
       changed: Set whenever samples are due to be generated or sealed, or the
-        step was sealed; whoever waits for it clears it first.
+        step was sealed; the step's task clears it before it waits.
+      ready: Set while the step can be handed over, and for good once it is
+        acknowledged or its holder changed.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         self.manifest: Manifest | None = None
         self.digest = ""
         self.changed = asyncio.Event()
+        self.ready = asyncio.Event()
         self._entry_by_slot: dict[Slot, ManifestEntry] = {}
 
     @property
@@ -74,13 +77,25 @@
         for slot, sample in list(held.items()):
             if self.as_sealed(sample) is None:
                 del held[slot]
+        self.note_change()
+
+    def note_change(self) -> None:
+        """Wakes whoever waits for the step."""
+        self.changed.set()
+        if self.is_ready:
+            self.ready.set()
+
+    def end(self) -> None:
+        """Wakes everybody; the step goes on elsewhere or is acknowledged."""
         self.changed.set()
+        self.ready.set()
 
     def reopen(self, versions: ModelVersions, bound: int) -> None:
         """Keeps the fresh samples for the next generation."""
         self.collector.drop_stale(versions, bound)
         self.manifest = None
         self.digest = ""
+        self.ready.clear()
         self.changed.set()
 
     def as_sealed(self, sample: Sample) -> Sample | None:
@@ -119,11 +134,17 @@
         failure = await self._ledger.take_over()
         if failure is not None:
             return failure
-        self.steps_by_number = {}
+        self.lose()
         self._attempts = itertools.count(first_attempt(epoch))
         self.see_versions(())
         return None
 
+    def lose(self) -> None:
+        """Drops the steps here; another holder goes on with them."""
+        for step in self.steps_by_number.values():
+            step.end()
+        self.steps_by_number = {}
+
     def see_versions(self, names: tuple[str, ...]) -> None:
         """Takes in the weight versions that engines report."""
         known = self._ledger.state.newest_version
@@ -189,7 +210,7 @@
         if not step.collector.add(sample):
             return Failure(ResultCode.STEP_CONFLICT, "The slot is filled.")
         if step.collector.is_full:
-            step.changed.set()
+            step.note_change()
         self._ledger.note_finished(number, len(step.collector.samples_by_slot))
         return None
 
@@ -260,8 +281,8 @@
                 if failure is not None:
                     return failure
         failure = await self._ledger.acknowledge(number, digest)
-        if failure is None:
-            self.steps_by_number.pop(number, None)
+        if failure is None and number in self.steps_by_number:
+            self.steps_by_number.pop(number).end()
         return failure
 
     async def reopen(self, number: int) -> Failure | None:
--- a/libs/rollout/src/shallotstand/rollout/lease.py
+++ b/libs/rollout/src/shallotstand/rollout/lease.py
@@ -41,6 +41,10 @@
         """Address at which trainers reach the holder; empty if unknown."""
         ...
 
+    async def wait_held(self) -> None:
+        """Waits until this process leads the job."""
+        ...
+
 
 class _Scope(NamedTuple):
     """Value of `scope/job/<name>`."""
@@ -76,6 +80,7 @@
         self._seen: StoredObject | None = None
         self._seen_at = 0.0
         self._scope = _Scope("", "", 0, "")
+        self._held = asyncio.Event()
 
     @property
     def time_left_s(self) -> float:
@@ -92,6 +97,12 @@
         """Address of the last known holder."""
         return self._scope.address
 
+    async def wait_held(self) -> None:
+        """Waits until this process leads the job."""
+        while not self.is_held:
+            self._held.clear()
+            await self._held.wait()
+
     async def keep(self) -> None:
         """Renews the lease, or takes it once it lapsed, until cancelled."""
         while True:
@@ -131,6 +142,7 @@
         )
         self.epoch = epoch
         self._until = started + LEASE_S
+        self._held.set()
         return None
 
     def _notice(self, held: StoredObject) -> None:
