--- a/apps/entry/src/shallotstand/entry/gateway.py
+++ b/apps/entry/src/shallotstand/entry/gateway.py
@@ -130,6 +130,7 @@
     Attributes:
       activity: Requests that have arrived and not ended.
       refusal: Why new requests are refused; None while they are served.
+      keyed_refusal: Returns why requests with a key are refused, or None.
     """
 
     def __init__(
@@ -152,6 +153,7 @@
         self._answers_by_key: dict[str, set[OpenAnswer]] = {}
         self.activity = Activity()
         self.refusal: Failure | None = None
+        self.keyed_refusal: Callable[[], Failure | None] = lambda: None
 
     def adopt(self, catalog: Catalog) -> None:
         """Serves by a new configuration from now on.
@@ -177,7 +179,11 @@
 
         Errors:
           KEY_MISSING, KEY_UNKNOWN: There is none.
+          CONFIG_UNCONFIRMED: Keys can't be confirmed now.
         """
+        refusal = self.keyed_refusal()
+        if refusal is not None:
+            return refusal
         if not secret:
             return Failure(ResultCode.KEY_MISSING, "Send a bearer key.")
         key = self._keys.find(secret)
@@ -287,6 +293,9 @@
             return Principal(account, None)
         if service.open:
             return Principal(None, None)
+        refusal = self.keyed_refusal()
+        if refusal is not None:
+            return refusal
         if not request.key:
             return Failure(ResultCode.KEY_MISSING, "Send a bearer key.")
         key = self._keys.find(request.key)
--- a/apps/entry/src/shallotstand/entry/main.py
+++ b/apps/entry/src/shallotstand/entry/main.py
@@ -8,17 +8,25 @@
 import cappa
 import uvloop
 from absl import logging
+from shallotstand.control.adoption import ConfigKeeper
 from shallotstand.core import logs
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.core.ids import new_id
+from shallotstand.entry.config_sync import ConfigSync, serve_by
 from shallotstand.entry.gateway import Gateway
 from shallotstand.entry.http_front import make_app
+from shallotstand.entry.rollout_service import JobService, RolloutService
 from shallotstand.entry.settings import TABLE, EntrySettings
 from shallotstand.entry.sidecars import Fleet, FleetListener
+from shallotstand.entry.trainer_front import add_trainer_routes
 from shallotstand.link.messages import Peer
 from shallotstand.link.node import Identity, Node, PeerConnection
+from shallotstand.objects.types import Catalog, RolloutJob
+from shallotstand.platform.absent_store import AbsentStore
+from shallotstand.platform.protocols import ObjectStore
+from shallotstand.rollout.lease import StoreJobLease
 from shallotstand.serving.first_come import FirstComeAdmission
 from shallotstand.serving.retries import BudgetedRetries
 from shallotstand.serving.routing import LeastLoadedRouter
@@ -28,13 +36,18 @@
 class Entry:
     """The parts of an entry process, put together from its settings."""
 
-    def __init__(self, settings: EntrySettings):
+    def __init__(self, settings: EntrySettings, store: ObjectStore):
         clock = SystemClock()
         rng = random.Random()
         self.settings = settings
         self.admission = FirstComeAdmission(clock)
+        self.rollouts = RolloutService()
         self.fleet = Fleet(
-            FleetListener(self.admission.set_capacity, lambda _: None)
+            FleetListener(
+                self.admission.set_capacity,
+                lambda _: None,
+                self.rollouts.take_offer,
+            )
         )
         self.gateway = Gateway(
             settings.zone,
@@ -59,11 +72,19 @@
             ),
         )
         self.node = Node(identity, self._serve_peer, clock)
+        keeper = ConfigKeeper(str(address), map(str, settings.entries), clock)
+        serve_by(keeper, self.gateway)
+        self.config_sync = ConfigSync(keeper, store, self.node)
+        self._store = store
+        self._clock = clock
+        keeper.subscribe(self._adopt_jobs)
 
     @classmethod
-    def from_config(cls, settings: EntrySettings) -> "Entry":
+    def from_config(
+        cls, settings: EntrySettings, store: ObjectStore
+    ) -> "Entry":
         """Makes an entry from checked settings."""
-        return cls(settings)
+        return cls(settings, store)
 
     async def run(self) -> None:
         """Serves until SIGTERM, then until the answers have ended."""
@@ -72,9 +93,11 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopping.set)
         app = make_app(self.settings, self.gateway)
+        add_trainer_routes(app, self.gateway, self.rollouts)
         await self.node.listen()
         for address in self.settings.entries:
             self.node.dial(address.host, address.port)
+        self.config_sync.start()
         http_server = await app.create_server(
             host=self.settings.listen.host,
             port=self.settings.listen.port,
@@ -85,17 +108,35 @@
         logs.event(logging.INFO, "Started", listen=str(self.settings.listen))
         await stopping.wait()
         await self._drain()
+        self.rollouts.close()
         await http_server.close()
+        await self.config_sync.close()
         await self.node.close()
         logs.event(logging.INFO, "Stopped")
 
+    def _adopt_jobs(self, catalog: Catalog) -> None:
+        self.rollouts.adopt(catalog, self._make_job)
+
+    def _make_job(self, job: RolloutJob) -> tuple[JobService, StoreJobLease]:
+        lease = StoreJobLease(
+            self._store,
+            job.name,
+            self.settings.process_id,
+            str(self.settings.listen),
+            self._clock,
+        )
+        service = JobService(
+            job, self._store, lease, self.gateway, self.fleet, self._clock
+        )
+        return service, lease
+
     async def _serve_peer(self, peer: PeerConnection) -> None:
         """Handles one peer until its connection ends."""
+        self.config_sync.observe(peer)
         if peer.hello.role == "sidecar":
             await self.fleet.serve(peer)
-            return
-        async for _ in peer.messages():
-            pass
+        else:
+            await self.config_sync.serve(peer)
 
     async def _drain(self) -> None:
         self.gateway.refusal = Failure(
@@ -114,7 +155,7 @@
     checked = EntrySettings.from_config(load_or_exit(settings, TABLE))
     logs.configure("shallotstand-entry", checked.process_id, checked.log_level)
     uvloop.install()
-    asyncio.run(Entry.from_config(checked).run())
+    asyncio.run(Entry.from_config(checked, AbsentStore()).run())
 
 
 def main() -> None:
--- a/libs/rollout/src/shallotstand/rollout/ledger.py
+++ b/libs/rollout/src/shallotstand/rollout/ledger.py
@@ -7,8 +7,13 @@
 
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
+from shallotstand.platform.conditional import (
+    DEFAULT_BACKOFF,
+    Backoff,
+    create_once,
+    update_object,
+)
 from shallotstand.platform.protocols import ObjectStore
-from shallotstand.rollout.conditional_write import create_once, update_object
 from shallotstand.rollout.lease import JobLease
 from shallotstand.rollout.manifest import Manifest, manifest_key
 
@@ -117,7 +122,14 @@
       state: State as last read or written, with the changes noted since.
     """
 
-    def __init__(self, store: ObjectStore, job: str, lease: JobLease):
+    def __init__(
+        self,
+        store: ObjectStore,
+        job: str,
+        lease: JobLease,
+        backoff: Backoff = DEFAULT_BACKOFF,
+    ):
+        self._backoff = backoff
         self.state = LedgerState()
         self._store = store
         self._job = job
@@ -227,7 +239,9 @@
         for generation in itertools.count(manifest.generation):
             manifest = manifest._replace(generation=generation)
             key = manifest_key(self._job, manifest.step, generation)
-            result = await create_once(self._store, key, manifest.to_bytes())
+            result = await create_once(
+                self._store, key, manifest.to_bytes(), self._backoff
+            )
             if not isinstance(result, Failure):
                 return manifest
             if result.code != ResultCode.VERSION_CONFLICT:
@@ -338,7 +352,11 @@
             return None if after == before else after.to_value()
 
         written = await update_object(
-            self._store, self._key, apply, retry_conflicts=True
+            self._store,
+            self._key,
+            apply,
+            retry_conflicts=True,
+            backoff=self._backoff,
         )
         if isinstance(written, Failure):
             return _repeatable(written)
--- a/libs/rollout/tests/test_handover.py
+++ b/libs/rollout/tests/test_handover.py
@@ -17,7 +17,7 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.objects.types import RolloutJob
-from shallotstand.rollout import conditional_write
+from shallotstand.platform.conditional import Backoff
 from shallotstand.rollout.handover import Handover
 from shallotstand.rollout.ledger import JobLedger, LedgerState
 from shallotstand.rollout.samples import Sample, VersionSpan
@@ -29,9 +29,7 @@
 VERSIONS = ModelVersions({f"v{n}": n for n in range(1, 50)}, 1)
 
 
-@pytest.fixture(autouse=True)
-def no_retry_delay(monkeypatch):
-    monkeypatch.setattr(conditional_write, "_RETRY_DELAY_S", 0.0)
+BACKOFF = Backoff(attempts=3, first_s=0.0)
 
 
 class Lease:
@@ -71,7 +69,8 @@
 
 
 def holder(store, epoch):
-    return Handover(JOB, JobLedger(store, "job", Lease(epoch)), VERSIONS)
+    ledger = JobLedger(store, "job", Lease(epoch), BACKOFF)
+    return Handover(JOB, ledger, VERSIONS)
 
 
 async def take(store, epoch):
