--- /dev/null
+++ b/apps/sidecar/tests/test_retained.py
@@ -0,0 +1,32 @@
+"""Samples that a sidecar keeps for a job's next holder."""
+
+from shallotstand.link.messages import Frame
+from shallotstand.sidecar.retained import RetainedSamples
+
+
+def test_oldest_samples_go_first_when_the_limit_is_reached():
+    kept = RetainedSamples(limit_bytes=100)
+    for index in range(5):
+        kept.add(f"job/0/0/{index}/1/1000", Frame(1, data=b"x" * 30))
+    assert kept.size == 90
+    assert kept.get("job/0/0/1/1/1000") is None
+    assert kept.get("job/0/0/2/1/1000") is not None
+
+
+def test_release_drops_only_the_acknowledged_steps_of_the_job():
+    kept = RetainedSamples()
+    for job, step in (("a", 0), ("a", 1), ("a", 2), ("b", 0)):
+        kept.add(f"{job}/{step}/0/0/1/1000", Frame(1, data=b"x"))
+    kept.release("a", 1)
+    offered = [s.request_id for o in kept.offers("a") for s in o.samples]
+    assert offered == ["a/2/0/0/1/1000"]
+    assert len(list(kept.offers("b"))) == 1
+    assert kept.size == 2
+
+
+def test_offers_stay_far_below_the_limit_of_a_message():
+    kept = RetainedSamples()
+    for index in range(10):
+        kept.add(f"a/0/0/{index}/1/1000", Frame(1, data=b"x" * 400_000))
+    sizes = [len(offer.samples) for offer in kept.offers("a")]
+    assert sizes == [2] * 5
