--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := $(sort $(wildcard libs/*/pyproject.toml apps/*/pyproject.toml))
 INSTALLED := $(VENV)/.installed
 
-.PHONY: install test lint format demo clean
+.PHONY: install pages test lint format demo clean
 
 install: $(INSTALLED)
 
@@ -27,6 +27,11 @@
 test: lint
 	$(BIN)/pytest
 
+# Rewrites the pages that are made from the code.
+pages: install
+	sed -i '/^| code/,$$d' docs/result-codes.md
+	$(BIN)/python -m shallotstand.core.codes >> docs/result-codes.md
+
 demo: install
 	$(BIN)/python -m shallotstand.standins.demo
 
--- a/apps/sidecar/src/shallotstand/sidecar/peers.py
+++ b/apps/sidecar/src/shallotstand/sidecar/peers.py
@@ -1,6 +1,7 @@
 """What the sidecar does for each entry and controller."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable
 
 from shallotstand.core.activity import Activity
@@ -9,6 +10,7 @@
     Crash,
     Hello,
     Load,
+    Order,
     Request,
     SampleAsk,
     SampleOffer,
@@ -19,11 +21,15 @@
 )
 from shallotstand.link.node import Node, PeerConnection
 from shallotstand.sidecar.endpoint import LocalEndpoint
+from shallotstand.sidecar.order_gate import OrderGate
 from shallotstand.sidecar.outbox import Outbox
 from shallotstand.sidecar.runner import Runner
 from shallotstand.sidecar.usage_log import UsageLog
 
 USAGE_INTERVAL_S = 5.0
+# About 1 MB, well below the limit of a message. After a long outage of the
+# store the rest follows once these are acknowledged.
+MAX_USAGE_RECORDS = 8192
 
 
 class PeerSession:
@@ -106,8 +112,14 @@
         endpoints_by_name: dict[str, LocalEndpoint],
         runner: Runner,
         usage_log: UsageLog,
+        order_gate: OrderGate | None = None,
     ):
         self.activity = Activity()
+        self._order_gate = order_gate
+        self._orders: set[asyncio.Task] = set()
+        self._acknowledged = asyncio.Event()
+        # Controllers whose answer to the last Usage message has come.
+        self._collector_by_source: dict[str, str] = {}
         self._zone = zone
         self._endpoints_by_name = endpoints_by_name
         self._runner = runner
@@ -141,8 +153,14 @@
                             peer.send(offer)
                     case SampleRelease(job, step):
                         self._runner.retained.release(job, step)
-                    case UsageAck(self._usage_log.source, number):
-                        self._usage_log.acknowledge(number)
+                    case Order():
+                        self._take_order(message, peer)
+                    case UsageAck(source, number):
+                        self._collector_by_source[source] = (
+                            peer.hello.process_id
+                        )
+                        self._usage_log.acknowledge(source, number)
+                        self._acknowledged.set()
                 self.node.revision = max(self.node.revision, peer.revision)
         finally:
             for askers in self._askers_by_job.values():
@@ -158,6 +176,28 @@
         for peer in self._askers_by_job.get(job, ()):
             peer.send(SampleOffer((sample,)))
 
+    def _take_order(self, order: Order, peer: PeerConnection) -> None:
+        """Starts an order, which goes on if the connection ends.
+
+        The engine may have begun it, and only its end shows the outcome.
+        """
+        if self._order_gate is None or peer.hello.role != "controller":
+            return
+        task = asyncio.create_task(self._carry_out(order, peer))
+        self._orders.add(task)
+        task.add_done_callback(self._orders.discard)
+
+    async def _carry_out(self, order: Order, peer: PeerConnection) -> None:
+        peer.send(await self._order_gate.carry_out(order))
+
+    def leave(self) -> None:
+        """Refuses new requests and tells all entries at once."""
+        self._runner.accepting = False
+        for endpoint in self._endpoints_by_name.values():
+            endpoint.leave()
+        reports = [e.report for e in self._endpoints_by_name.values()]
+        self.node.broadcast(Load(tuple(reports)), "entry")
+
     def on_report(self, endpoint: LocalEndpoint, ended: bool) -> None:
         """Tells the entries of an endpoint's state."""
         self.node.broadcast(Load((endpoint.report,)), "entry")
@@ -173,6 +213,33 @@
         """Sends records that are not stored to the controllers, forever."""
         while True:
             await asyncio.sleep(USAGE_INTERVAL_S)
-            if records := self._usage_log.pending():
-                usage = Usage(self._usage_log.source, records)
+            self.send_usage()
+
+    async def hand_over_usage(self, timeout_s: float) -> bool:
+        """Sends all records and waits until they are stored.
+
+        Returns:
+          False if some are not when the time is over; the entries have them.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                while self._usage_log.pending():
+                    self._acknowledged.clear()
+                    self.send_usage()
+                    await self._acknowledged.wait()
+        return not self._usage_log.pending()
+
+    def send_usage(self) -> None:
+        """Sends what is not acknowledged.
+
+        It goes to the controller that acknowledged the source last, or to
+        all if that did not answer: all would cost every controller's link.
+        """
+        pending = self._usage_log.pending_by_source()
+        for source, records in pending.items():
+            usage = Usage(source, records[:MAX_USAGE_RECORDS])
+            collector = self._collector_by_source.pop(source, "")
+            if peer := self.node.peers_by_id.get(collector):
+                peer.send(usage)
+            else:
                 self.node.broadcast(usage, "controller")
