Test that a retained request outlives its entry

Cause: a rollout request whose entry died must run on and be offered. Change: a test of the peer session with a fake runner. Conclusion: only requests without the retain flag are cancelled.

--- a/apps/sidecar/tests/test_retained.py
+++ b/apps/sidecar/tests/test_retained.py
@@ -1,6 +1,11 @@
 """Samples that a sidecar keeps for a job's next holder."""
 
-from shallotstand.link.messages import Frame
+import asyncio
+import types
+
+from shallotstand.core.activity import Activity
+from shallotstand.link.messages import Frame, Request
+from shallotstand.sidecar.peers import PeerSession
 from shallotstand.sidecar.retained import RetainedSamples
 
 
@@ -30,3 +35,26 @@
         kept.add(f"a/0/0/{index}/1/1000", Frame(1, data=b"x" * 400_000))
     sizes = [len(offer.samples) for offer in kept.offers("a")]
     assert sizes == [2] * 5
+
+
+def test_rollout_request_runs_on_when_its_entry_dies():
+    async def check():
+        go, orphans, ended = asyncio.Event(), [], []
+
+        class Runner:
+            async def run(self, request, outbox):
+                await go.wait()
+                ended.append(request.stream)
+
+        peer = types.SimpleNamespace(link=None)
+        session = PeerSession(peer, Runner(), Activity(), orphans.append)
+        kept = Request(1, "job/0/0/0/1/1", 1, "e", "", "", b"", 9, retain=True)
+        session.submit((kept, kept._replace(stream=2, retain=False)))
+        await asyncio.sleep(0)
+        await session.close()
+        go.set()
+        await asyncio.sleep(0.01)
+        assert ended == [1]
+        assert orphans == [kept]
+
+    asyncio.run(check())
