--- a/apps/entry/src/shallotstand/entry/attempts.py
+++ b/apps/entry/src/shallotstand/entry/attempts.py
@@ -35,6 +35,7 @@
       blocks: Hashes of the prompt's blocks.
       cost: Expected tokens.
       deadline: Monotonic time in seconds at which the answer is due.
+      excluded: Endpoints that must not run it.
     """
 
     service: Service
@@ -43,6 +44,7 @@
     blocks: tuple[int, ...]
     cost: float
     deadline: float
+    excluded: frozenset[str] = frozenset()
 
 
 class Opened(NamedTuple):
@@ -175,7 +177,7 @@
         self._work = work
         self._message = work.message
         self._failures: list[Failure] = []
-        self._excluded: frozenset[str] = frozenset()
+        self._excluded = work.excluded
         self._generated = resume.Generated()
         self._sent = 0
 
--- a/apps/entry/src/shallotstand/entry/main.py
+++ b/apps/entry/src/shallotstand/entry/main.py
@@ -19,13 +19,17 @@
 from shallotstand.entry.crashes import CrashDesk
 from shallotstand.entry.gateway import Gateway
 from shallotstand.entry.http_front import make_app
+from shallotstand.entry.rollout_service import JobService, RolloutService
 from shallotstand.entry.settings import TABLE, EntrySettings
 from shallotstand.entry.shares import ShareExchange
 from shallotstand.entry.sidecars import Fleet, FleetListener
+from shallotstand.entry.trainer_front import add_trainer_routes
 from shallotstand.link.messages import Crash, Message, Peer, Release, Share
 from shallotstand.link.node import Identity, Node, PeerConnection
+from shallotstand.objects.types import Catalog, RolloutJob
 from shallotstand.platform.http_store import HttpObjectStore
 from shallotstand.platform.protocols import ObjectStore
+from shallotstand.rollout.lease import StoreJobLease
 from shallotstand.serving.fair_queue import FairAdmission
 from shallotstand.serving.hedging import LatencyHedges
 from shallotstand.serving.prefix_index import DecayingPrefixIndex
@@ -44,13 +48,15 @@
         self.admission = FairAdmission(clock)
         self.crashes = CrashDesk(clock)
         self.shares = ShareExchange(self.admission)
+        self.rollouts = RolloutService()
         index = DecayingPrefixIndex(clock)
         self.fleet = Fleet(
             FleetListener(
-                self.admission.set_capacity,
-                self.crashes.take_crash,
-                self.crashes.report_lost,
-                index,
+                capacity=self.admission.set_capacity,
+                crash=self.crashes.take_crash,
+                lost=self.crashes.report_lost,
+                index=index,
+                samples=self.rollouts.take_offer,
             )
         )
         policies = Policies(
@@ -86,6 +92,9 @@
         keeper = ConfigKeeper(str(address), map(str, settings.entries), clock)
         serve_by(keeper, self.gateway)
         self.config_sync = ConfigSync(keeper, store, self.node)
+        self._store = store
+        self._clock = clock
+        keeper.subscribe(self._adopt_jobs)
 
     @classmethod
     def from_config(
@@ -101,6 +110,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, stopping.set)
         app = make_app(self.settings, self.gateway)
+        add_trainer_routes(app, self.gateway, self.rollouts)
         await self.node.listen()
         for address in self.settings.entries:
             self.node.dial(address.host, address.port)
@@ -117,11 +127,28 @@
         await stopping.wait()
         await self._drain()
         sharing.cancel()
+        self.rollouts.close()
         await http_server.close()
         await self.config_sync.close()
         await self.node.close()
         logs.event(logging.INFO, "Stopped")
 
+    def _adopt_jobs(self, catalog: Catalog) -> None:
+        self.rollouts.adopt(catalog, self._make_job)
+
+    def _make_job(self, job: RolloutJob) -> tuple[JobService, StoreJobLease]:
+        lease = StoreJobLease(
+            self._store,
+            job.name,
+            self.settings.process_id,
+            str(self.settings.listen),
+            self._clock,
+        )
+        service = JobService(
+            job, self._store, lease, self.gateway, self.fleet, self._clock
+        )
+        return service, lease
+
     async def _serve_peer(self, peer: PeerConnection) -> None:
         """Handles one peer until its connection ends."""
         self.config_sync.observe(peer)
--- a/apps/sidecar/tests/test_peer_session.py
+++ b/apps/sidecar/tests/test_peer_session.py
@@ -42,7 +42,9 @@
 def run_session(link) -> None:
     async def run() -> None:
         activity = Activity()
-        session = PeerSession(FakePeer(link), FailingRunner(), activity)
+        session = PeerSession(
+            FakePeer(link), FailingRunner(), activity, lambda _: None
+        )
         session.submit((REQUEST,))
         await asyncio.sleep(0.05)
         assert activity.count == 0
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -61,6 +61,7 @@
   suspect @11 :Bool;
   fingerprint @12 :Data;
   notRunStatuses @13 :List(UInt16);
+  retain @14 :Bool;
 }
 
 struct Submit {
@@ -194,6 +195,27 @@
   accounts @0 :List(AccountShare);
 }
 
+struct RetainedSample {
+  requestId @0 :Text;
+  data @1 :Data;
+  spans @2 :List(Span);
+  promptTokens @3 :UInt32;
+  completionTokens @4 :UInt32;
+}
+
+struct SampleAsk {
+  job @0 :Text;
+}
+
+struct SampleOffer {
+  samples @0 :List(RetainedSample);
+}
+
+struct SampleRelease {
+  job @0 :Text;
+  step @1 :UInt32;
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -214,5 +236,8 @@
     share @15 :Share;
     chunks @16 :Chunks;
     release @17 :Release;
+    sampleAsk @18 :SampleAsk;
+    sampleOffer @19 :SampleOffer;
+    sampleRelease @20 :SampleRelease;
   }
 }
