Index the fleet by service, shortlist endpoints, send load as samples

Cause: an entry summed up the whole fleet's slots for each load report (0.93 of a core at 200 sidecars of 8 engines) and built a candidate for each of thousands of endpoints for each request; a sidecar sent each engine's whole report twice a second (15.3 KB/s at 24 peers).

--- a/apps/entry/src/shallotstand/entry/attempts.py
+++ b/apps/entry/src/shallotstand/entry/attempts.py
@@ -22,7 +22,8 @@
     may_have_crashed,
     reported_failure,
 )
-from shallotstand.serving.routing import RouteQuery, Router
+from shallotstand.serving.routing import Candidate, RouteQuery, Router
+from shallotstand.serving.shortlist import Shortlist
 
 
 class Work(NamedTuple):
@@ -69,6 +70,7 @@
 class Policies(NamedTuple):
     """Decisions about attempts."""
 
+    shortlist: Shortlist
     router: Router
     retries: RetryPolicy
     hedges: HedgePolicy
@@ -118,6 +120,15 @@
             failure.code, work.service.idempotent, failed, self.left_s(work)
         )
 
+    def _choose(
+        self,
+        endpoints: Mapping[str, RemoteEndpoint],
+        names: list[str],
+        query: RouteQuery,
+    ) -> Candidate | Failure:
+        candidates = [endpoints[name].candidate() for name in names]
+        return self._policies.router.choose(candidates, query)
+
     def open(
         self, work: Work, message: Request, excluded: frozenset[str]
     ) -> Opened | Failure:
@@ -127,10 +138,11 @@
           NO_ENDPOINT: No endpoint can take it; nothing was sent.
         """
         endpoints = self._fleet.endpoints(work.service.name)
-        chosen = self._policies.router.choose(
-            [endpoint.candidate() for endpoint in endpoints.values()],
-            RouteQuery(self._zone, work.blocks, excluded),
-        )
+        query = RouteQuery(self._zone, work.blocks, excluded)
+        names = self._policies.shortlist.names(endpoints, query)
+        chosen = self._choose(endpoints, names, query)
+        if isinstance(chosen, Failure) and len(names) < len(endpoints):
+            chosen = self._choose(endpoints, list(endpoints), query)
         if isinstance(chosen, Failure):
             return chosen
         endpoint = endpoints[chosen.name]
--- a/apps/entry/src/shallotstand/entry/main.py
+++ b/apps/entry/src/shallotstand/entry/main.py
@@ -35,6 +35,7 @@
 from shallotstand.serving.prefix_index import DecayingPrefixIndex
 from shallotstand.serving.prefix_routing import PrefixRouter
 from shallotstand.serving.retries import BudgetedRetries
+from shallotstand.serving.shortlist import Shortlist
 from shallotstand.settings.loader import load_or_exit
 
 
@@ -60,6 +61,7 @@
             )
         )
         policies = Policies(
+            Shortlist(rng, index),
             PrefixRouter(rng, index),
             BudgetedRetries(rng),
             LatencyHedges(),
--- a/apps/entry/src/shallotstand/entry/sidecars.py
+++ b/apps/entry/src/shallotstand/entry/sidecars.py
@@ -1,8 +1,9 @@
 """Connections from sidecars and the endpoints behind them."""
 
 import asyncio
+import collections
 import itertools
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import NamedTuple
 
 from shallotstand.core.codes import ResultCode
@@ -18,6 +19,8 @@
     Frame,
     Frames,
     Load,
+    LoadSample,
+    LoadSamples,
     Request,
     SampleAsk,
     SampleOffer,
@@ -52,6 +55,19 @@
         self.in_flight_at_report = 0
         self.incarnation = info.incarnation
 
+    @property
+    def live_slots(self) -> int:
+        """Requests that the endpoint runs at once; 0 unless it is live."""
+        return self.report.slots if self.report.state == "live" else 0
+
+    def take_sample(self, sample: LoadSample) -> None:
+        """Takes the numbers of the last second."""
+        _, running, queued, free_blocks = sample
+        self.report = self.report._replace(
+            running=running, queued=queued, free_blocks=free_blocks
+        )
+        self.in_flight_at_report = self.in_flight
+
     def take_report(self, report: EndpointLoad) -> None:
         """Takes a load report."""
         self.report = report
@@ -81,6 +97,7 @@
             info.name: RemoteEndpoint(info, self)
             for info in peer.hello.endpoints
         }
+        self._endpoints = tuple(self.endpoints_by_name.values())
         self._peer = peer
         self._link = peer.link
         self._numbers = itertools.count(1)
@@ -163,6 +180,8 @@
                 case Load(endpoints):
                     for report in endpoints:
                         self._take_report(report, fleet)
+                case LoadSamples():
+                    self._take_samples(message, fleet)
                 case Crash():
                     fleet.on_crash(message)
                 case SampleOffer():
@@ -204,9 +223,23 @@
     def _take_report(self, report: EndpointLoad, fleet: "Fleet") -> None:
         endpoint = self.endpoints_by_name.get(report.name)
         if endpoint is not None:
+            before = endpoint.live_slots
             endpoint.take_report(report)
-            fleet.on_report(report)
-            fleet.on_capacity(endpoint.info.service)
+            fleet.on_slots(endpoint.info.service, endpoint.live_slots - before)
+
+    def _take_samples(self, message: LoadSamples, fleet: "Fleet") -> None:
+        for sample in message.samples:
+            if sample.index < len(self._endpoints):
+                self._endpoints[sample.index].take_sample(sample)
+        names = [endpoint.info.name for endpoint in self._endpoints]
+        added = zip(message.added_indexes, message.added, strict=False)
+        for index, block in added:
+            if index < len(names):
+                fleet.on_cache_events(names[index], (block,), ())
+        evicted = zip(message.evicted_indexes, message.evicted, strict=False)
+        for index, block in evicted:
+            if index < len(names):
+                fleet.on_cache_events(names[index], (), (block,))
 
     def _end(self, number: int, code: ResultCode, reason: str) -> None:
         stream = self._forget(number)
@@ -238,6 +271,10 @@
     def __init__(self, listener: FleetListener):
         self._listener = listener
         self._connections_by_id: dict[str, SidecarConnection] = {}
+        # Kept up to date by each change: summing up thousands of endpoints
+        # for each report or request took most of a core at 200 sidecars.
+        self._endpoints_by_service: dict[str, dict[str, RemoteEndpoint]] = {}
+        self._slots_by_service: collections.Counter[str] = collections.Counter()
         self._asked_jobs: set[str] = set()
 
     async def serve(self, peer: PeerConnection) -> None:
@@ -245,6 +282,11 @@
         connection = SidecarConnection(peer)
         hello = peer.hello
         self._connections_by_id[hello.process_id] = connection
+        for name, endpoint in connection.endpoints_by_name.items():
+            by_name = self._endpoints_by_service.setdefault(
+                endpoint.info.service, {}
+            )
+            by_name[name] = endpoint
         for job in self._asked_jobs:
             connection.send(SampleAsk(job))
         try:
@@ -256,17 +298,20 @@
             if self._connections_by_id.get(hello.process_id) is connection:
                 del self._connections_by_id[hello.process_id]
             connection.end_all()
-            for service in {e.service for e in hello.endpoints}:
-                self.on_capacity(service)
-
-    def endpoints(self, service: str) -> dict[str, RemoteEndpoint]:
+            self._remove(connection)
+
+    def _remove(self, connection: SidecarConnection) -> None:
+        for name, endpoint in connection.endpoints_by_name.items():
+            service = endpoint.info.service
+            by_name = self._endpoints_by_service[service]
+            # A newer connection of the sidecar may have taken the name over.
+            if by_name.get(name) is endpoint:
+                del by_name[name]
+            self.on_slots(service, -endpoint.live_slots)
+
+    def endpoints(self, service: str) -> Mapping[str, RemoteEndpoint]:
         """Returns the connected endpoints of a service by name."""
-        return {
-            name: endpoint
-            for connection in self._connections_by_id.values()
-            for name, endpoint in connection.endpoints_by_name.items()
-            if endpoint.info.service == service
-        }
+        return self._endpoints_by_service.get(service, {})
 
     def ask_samples(self, job: str) -> None:
         """Asks every sidecar, now or later connected, for a job's samples."""
@@ -283,21 +328,19 @@
         """Passes retained samples to the listener."""
         self._listener.samples(offer)
 
-    def on_capacity(self, service: str) -> None:
+    def on_slots(self, service: str, change: int) -> None:
         """Tells the listener how many requests a service runs at once."""
-        slots = sum(
-            endpoint.report.slots
-            for endpoint in self.endpoints(service).values()
-            if endpoint.report.state == "live"
-        )
-        self._listener.capacity(service, slots)
+        if change:
+            self._slots_by_service[service] += change
+            slots = self._slots_by_service[service]
+            self._listener.capacity(service, slots)
 
-    def on_report(self, report: EndpointLoad) -> None:
+    def on_cache_events(
+        self, endpoint: str, added: tuple[int, ...], evicted: tuple[int, ...]
+    ) -> None:
         """Passes an endpoint's cache events on."""
         if self._listener.index is not None:
-            self._listener.index.take_events(
-                report.name, report.added, report.evicted
-            )
+            self._listener.index.take_events(endpoint, added, evicted)
 
     def on_crash(self, crash: Crash) -> None:
         """Tells the listener that an endpoint ended."""
--- a/apps/sidecar/src/shallotstand/sidecar/endpoint.py
+++ b/apps/sidecar/src/shallotstand/sidecar/endpoint.py
@@ -17,7 +17,7 @@
 )
 from shallotstand.sidecar.settings import EndpointSettings
 
-LOAD_INTERVAL_S = 0.5
+LOAD_INTERVAL_S = 1.0
 # A request that was cut ran on the engine when that ended, if the next load
 # report shows so; a report takes at most 2 s.
 CUT_MEMORY_S = 4.0
--- a/apps/sidecar/src/shallotstand/sidecar/main.py
+++ b/apps/sidecar/src/shallotstand/sidecar/main.py
@@ -47,9 +47,10 @@
     node = Node(identity, service.serve, clock, service.describe)
     service.node = node
     tasks = [
-        asyncio.create_task(endpoint.watch(service.on_report))
+        asyncio.create_task(endpoint.watch(service.load_reporter.on_report))
         for endpoint in endpoints_by_name.values()
     ]
+    tasks.append(asyncio.create_task(service.load_reporter.run()))
     tasks.append(asyncio.create_task(service.report_usage()))
     for address in settings.peers:
         node.dial(address.host, address.port)
--- a/apps/sidecar/src/shallotstand/sidecar/peers.py
+++ b/apps/sidecar/src/shallotstand/sidecar/peers.py
@@ -10,10 +10,8 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.link.messages import (
     Cancel,
-    Crash,
     Frame,
     Hello,
-    Load,
     Order,
     Request,
     SampleAsk,
@@ -25,6 +23,7 @@
 )
 from shallotstand.link.node import Node, PeerConnection
 from shallotstand.sidecar.endpoint import LocalEndpoint
+from shallotstand.sidecar.load_reporter import LoadReporter
 from shallotstand.sidecar.order_gate import OrderGate
 from shallotstand.sidecar.outbox import Outbox
 from shallotstand.sidecar.runner import Runner
@@ -125,11 +124,9 @@
 
     Attributes:
       activity: Requests that run on the endpoints.
-      node: Connections to the peers; set right after construction.
+      load_reporter: Tells the entries how busy the endpoints are.
     """
 
-    node: Node
-
     def __init__(
         self,
         zone: str,
@@ -139,6 +136,7 @@
         order_gate: OrderGate | None = None,
     ):
         self.activity = Activity()
+        self.load_reporter = LoadReporter(endpoints_by_name)
         self._order_gate = order_gate
         self._orders: set[asyncio.Task] = set()
         self._acknowledged = asyncio.Event()
@@ -150,6 +148,15 @@
         self._usage_log = usage_log
         self._askers_by_job: dict[str, set[PeerConnection]] = {}
 
+    @property
+    def node(self) -> Node:
+        """Connections to the peers; set right after construction."""
+        return self.load_reporter.node
+
+    @node.setter
+    def node(self, node: Node) -> None:
+        self.load_reporter.node = node
+
     def describe(self, hello: Hello) -> Hello:
         """Adds the endpoints to the Hello message."""
         return hello._replace(
@@ -164,6 +171,7 @@
         session = PeerSession(
             peer, self._runner, self.activity, self._offer_orphan
         )
+        self.load_reporter.greet(peer)
         try:
             async for message in peer.messages():
                 match message:
@@ -219,14 +227,7 @@
         self._runner.accepting = False
         for endpoint in self._endpoints_by_name.values():
             endpoint.leave()
-        reports = [e.report for e in self._endpoints_by_name.values()]
-        self.node.broadcast(Load(tuple(reports)), "entry")
-
-    def on_report(self, endpoint: LocalEndpoint, crash: Crash | None) -> None:
-        """Tells the entries of an endpoint's state."""
-        self.node.broadcast(Load((endpoint.report,)), "entry")
-        if crash is not None:
-            self.node.broadcast(crash, "entry")
+        self.load_reporter.tell(*self._endpoints_by_name.values())
 
     async def report_usage(self) -> None:
         """Sends records that are not stored to the controllers, forever."""
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -116,6 +116,21 @@
   endpoints @0 :List(EndpointLoad);
 }
 
+struct LoadSample {
+  index @0 :UInt16;
+  running @1 :UInt32;
+  queued @2 :UInt32;
+  freeBlocks @3 :UInt32;
+}
+
+struct LoadSamples {
+  samples @0 :List(LoadSample);
+  addedIndexes @1 :List(UInt16);
+  added @2 :List(UInt64);
+  evictedIndexes @3 :List(UInt16);
+  evicted @4 :List(UInt64);
+}
+
 struct Crash {
   endpoint @0 :Text;
   incarnation @1 :Text;
@@ -239,5 +254,6 @@
     sampleAsk @18 :SampleAsk;
     sampleOffer @19 :SampleOffer;
     sampleRelease @20 :SampleRelease;
+    loadSamples @21 :LoadSamples;
   }
 }
--- a/libs/link/src/shallotstand/link/messages.py
+++ b/libs/link/src/shallotstand/link/messages.py
@@ -224,11 +224,48 @@
 
 
 class Load(NamedTuple):
-    """Reports of the endpoints whose state changed."""
+    """Whole reports of endpoints of which more than numbers changed."""
 
     endpoints: tuple[EndpointLoad, ...]
 
 
+class LoadSample(NamedTuple):
+    """The numbers of an endpoint that change all the time.
+
+    Attributes:
+      index: Position of the endpoint in the sidecar's Hello.
+      running: Requests in the engine's batch.
+      queued: Requests waiting in the engine.
+      free_blocks: Free blocks of the engine's KV cache.
+    """
+
+    index: int
+    running: int
+    queued: int
+    free_blocks: int
+
+
+class LoadSamples(NamedTuple):
+    """Samples of one second.
+
+    Cache events stand beside their endpoints' indexes in lists of numbers,
+    which take a fraction of the bytes of structs.
+
+    Attributes:
+      samples: Endpoints whose numbers changed.
+      added_indexes: Endpoint of each hash in `added`.
+      added: Hashes of prompt blocks that entered a prefix cache.
+      evicted_indexes: Endpoint of each hash in `evicted`.
+      evicted: Hashes of prompt blocks that left one.
+    """
+
+    samples: tuple[LoadSample, ...]
+    added_indexes: tuple[int, ...] = ()
+    added: tuple[int, ...] = ()
+    evicted_indexes: tuple[int, ...] = ()
+    evicted: tuple[int, ...] = ()
+
+
 class Crash(NamedTuple):
     """An endpoint ended while it ran requests.
 
@@ -436,4 +473,5 @@
     | SampleAsk
     | SampleOffer
     | SampleRelease
+    | LoadSamples
 )
--- a/libs/serving/src/shallotstand/serving/prefix_index.py
+++ b/libs/serving/src/shallotstand/serving/prefix_index.py
@@ -10,7 +10,9 @@
 EVENT_LIFE_S = 300.0
 # Where a prompt was sent is a guess: the request may have failed there.
 SENT_LIFE_S = 60.0
-MAX_BLOCKS = 4096  # for each endpoint; about 0.5 MB
+# About 120 bytes for each block and endpoint, so 60 MB in all.
+MAX_BLOCKS = 524_288
+MAX_BLOCKS_PER_ENDPOINT = 4096
 
 
 class PrefixIndex(Protocol):
@@ -33,23 +35,35 @@
     def __init__(self, clock: Clock):
         self._clock = clock
         self._expiry_by_endpoint: dict[str, OrderedDict[int, float]] = {}
+        self._endpoints_by_block: dict[int, set[str]] = {}
 
     def take_events(
         self, endpoint: str, added: Iterable[int], evicted: Iterable[int]
     ) -> None:
         """Takes an endpoint's cache events."""
-        expiry_by_block = self._blocks(endpoint)
+        held = self._blocks(endpoint)
         for block in evicted:
-            expiry_by_block.pop(block, None)
-        self._add(expiry_by_block, added, EVENT_LIFE_S)
+            if held.pop(block, None) is not None:
+                self._unlink(endpoint, block)
+        self._add(endpoint, added, EVENT_LIFE_S)
 
     def note_sent(self, endpoint: str, blocks: Iterable[int]) -> None:
         """Notes that a prompt of these blocks was sent to an endpoint."""
-        self._add(self._blocks(endpoint), blocks, SENT_LIFE_S)
+        self._add(endpoint, blocks, SENT_LIFE_S)
 
     def forget(self, endpoint: str) -> None:
         """Forgets an endpoint whose engine ended."""
-        self._expiry_by_endpoint.pop(endpoint, None)
+        for block in self._expiry_by_endpoint.pop(endpoint, ()):
+            self._unlink(endpoint, block)
+
+    def holders(self, blocks: tuple[int, ...], limit: int) -> list[str]:
+        """Returns endpoints that hold most of a prompt, best first."""
+        found: dict[str, None] = {}
+        for block in reversed(blocks):
+            found.update(dict.fromkeys(self._endpoints_by_block.get(block, ())))
+            if len(found) >= limit:
+                break
+        return list(found)[:limit]
 
     def held(self, endpoint: str, blocks: tuple[int, ...]) -> int:
         """Returns how many of a prompt's first blocks an endpoint holds.
@@ -69,16 +83,19 @@
     def _blocks(self, endpoint: str) -> OrderedDict[int, float]:
         return self._expiry_by_endpoint.setdefault(endpoint, OrderedDict())
 
-    def _add(
-        self,
-        expiry_by_block: OrderedDict[int, float],
-        blocks: Iterable[int],
-        life_s: float,
-    ) -> None:
+    def _add(self, endpoint: str, blocks: Iterable[int], life_s: float) -> None:
+        held = self._blocks(endpoint)
         expiry = self._clock.monotonic() + life_s
         for block in blocks:
-            later = max(expiry, expiry_by_block.get(block, 0.0))
-            expiry_by_block[block] = later
-            expiry_by_block.move_to_end(block)
-        while len(expiry_by_block) > MAX_BLOCKS:
-            expiry_by_block.popitem(last=False)
+            held[block] = max(expiry, held.get(block, 0.0))
+            held.move_to_end(block)
+            self._endpoints_by_block.setdefault(block, set()).add(endpoint)
+        share = MAX_BLOCKS // len(self._expiry_by_endpoint)
+        while len(held) > min(MAX_BLOCKS_PER_ENDPOINT, share):
+            self._unlink(endpoint, held.popitem(last=False)[0])
+
+    def _unlink(self, endpoint: str, block: int) -> None:
+        endpoints = self._endpoints_by_block[block]
+        endpoints.discard(endpoint)
+        if not endpoints:
+            del self._endpoints_by_block[block]
--- a/measure/control_cost.py
+++ b/measure/control_cost.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import json
 import pathlib
 import tempfile
@@ -71,33 +72,37 @@
             report.cancel()
 
     async def _report(self, peer: PeerConnection) -> None:
-        running = 0
-        while True:
-            running += 1
+        name = self.node.identity.process_id
+        peer.send(
+            Load(
+                tuple(
+                    EndpointLoad(f"{name}-{i}", slots=64, version="v1")
+                    for i in range(ENGINES_PER_SIDECAR)
+                )
+            )
+        )
+        for count in itertools.count(1):
+            await asyncio.sleep(1.0)
             peer.send(
-                Load(
+                LoadSamples(
                     tuple(
-                        EndpointLoad(
-                            f"{self.node.identity.process_id}-{i}",
-                            running % 50 + 1,
-                            0,
-                            64,
-                            1000,
-                            "v1",
-                            "live",
-                            (running, running + 1),
-                        )
+                        LoadSample(i, count % 50 + 1, 0, 1000)
                         for i in range(ENGINES_PER_SIDECAR)
-                    )
+                    ),
+                    tuple(range(ENGINES_PER_SIDECAR)),
+                    tuple(range(count, count + ENGINES_PER_SIDECAR)),
                 )
             )
-            await asyncio.sleep(1.0)
 
     def traffic(self) -> int:
-        """Returns the bytes exchanged on the open connections."""
+        """Returns the bytes exchanged with the measured program.
+
+        The stubs also learn of each other and connect.
+        """
         return sum(
             peer.link.bytes_sent + peer.link.bytes_received
-            for peer in self.node.peers_by_id.values()
+            for process_id, peer in self.node.peers_by_id.items()
+            if process_id in ("sidecar-1", "entry-1")
         )
 
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -175,7 +175,7 @@
         identity = Identity(f"s{number}", "sidecar", "peak-a", f"inc{number}")
         service.node = Node(identity, service.serve, clock, service.describe)
         self._tasks.append(
-            asyncio.create_task(endpoint.watch(service.on_report))
+            asyncio.create_task(endpoint.watch(service.load_reporter.on_report))
         )
         for host in hosts:
             service.node.dial(host.host, host.port)
--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -24,9 +24,11 @@
 )
 from shallotstand.serving.first_come import FirstComeAdmission
 from shallotstand.serving.hedging import NoHedges
+from shallotstand.serving.prefix_index import DecayingPrefixIndex
 from shallotstand.serving.quarantine import Quarantine
 from shallotstand.serving.retries import BudgetedRetries
 from shallotstand.serving.routing import LeastLoadedRouter
+from shallotstand.serving.shortlist import Shortlist
 from shallotstand.sidecar.endpoint import LocalEndpoint
 from shallotstand.sidecar.peers import PeerService
 from shallotstand.sidecar.runner import Runner
@@ -79,6 +81,7 @@
     fleet = Fleet(FleetListener(admission.set_capacity, lambda _: None))
     rng = random.Random(1)
     policies = Policies(
+        Shortlist(rng, DecayingPrefixIndex(clock)),
         LeastLoadedRouter(rng),
         BudgetedRetries(rng),
         NoHedges(),
@@ -111,7 +114,9 @@
         clock,
         service.describe,
     )
-    watcher = asyncio.create_task(endpoints["e1"].watch(service.on_report))
+    watcher = asyncio.create_task(
+        endpoints["e1"].watch(service.load_reporter.on_report)
+    )
     service.node.dial("127.0.0.1", peer_port)
     gateway.adopt(CATALOG)
     async with asyncio.timeout(10):
