--- a/measure/control_cost.py
+++ b/measure/control_cost.py
@@ -18,6 +18,8 @@
     EndpointLoad,
     Hello,
     Load,
+    LoadSample,
+    LoadSamples,
     Peer,
 )
 from shallotstand.link.node import Identity, Node, PeerConnection
