--- a/apps/entry/src/shallotstand/entry/main.py
+++ b/apps/entry/src/shallotstand/entry/main.py
@@ -113,6 +113,9 @@
             loop.add_signal_handler(number, stopping.set)
         app = make_app(self.settings, self.gateway)
         add_trainer_routes(app, self.gateway, self.rollouts)
+        # Removes the dispatch of signals that nobody listens to, about a
+        # quarter of the time of a request; it works for one app a process.
+        app.config.TOUCHUP = True
         await self.node.listen()
         for address in self.settings.entries:
             self.node.dial(address.host, address.port)
