Check a request's key again after each wait in the gateway

Cause: the key was checked only on arrival. Change: check again after admission (1004, or 1014 on an isolated entry, both not run) and after the first part (2006, the stream is closed); adopt cuts the answers of every key that differs. Conclusion: while an attempt waits for its first part it still runs under the withdrawn key; only its answer is withheld.

--- a/apps/entry/src/shallotstand/entry/gateway.py
+++ b/apps/entry/src/shallotstand/entry/gateway.py
@@ -25,6 +25,7 @@
 _CHARS_PER_TOKEN = 4
 _SERVER_ERROR = 500
 _PRIORITIES = {"interactive": 1, "rollout": 0}
+_WITHDRAWN_REASON = "The key was withdrawn."
 
 
 class CallerRequest(NamedTuple):
@@ -170,16 +171,18 @@
     def adopt(self, catalog: Catalog) -> None:
         """Serves by a new configuration from now on.
 
-        Answers in progress whose key was withdrawn are cut.
+        Answers in progress whose key was withdrawn or changed are cut.
         """
-        withdrawn = self._catalog.keys_by_name.keys() - catalog.keys_by_name
+        withdrawn = [
+            name
+            for name, key in self._catalog.keys_by_name.items()
+            if catalog.keys_by_name.get(name) != key
+        ]
         self._catalog = catalog
         self._keys = KeyRing(catalog.keys_by_name.values())
         for name in withdrawn:
             for answer in tuple(self._answers_by_key.get(name, ())):
-                answer.cut(
-                    ResultCode.STREAM_KEY_WITHDRAWN, "The key was withdrawn."
-                )
+                answer.cut(ResultCode.STREAM_KEY_WITHDRAWN, _WITHDRAWN_REASON)
 
     @property
     def catalog(self) -> Catalog:
@@ -238,6 +241,11 @@
         )
         if isinstance(permit, Failure):
             return permit
+        # The wait can be longer than the time in which a withdrawal must hold.
+        refusal = self._key_refusal(principal)
+        if refusal is not None:
+            permit.release(0)
+            return refusal
         try:
             opened = await self._attempts.run(work)
         except BaseException:
@@ -246,8 +254,27 @@
         if isinstance(opened, Failure):
             permit.release(0)
             return opened
+        if self._is_withdrawn(principal):
+            # It was no open answer yet when the configuration was adopted.
+            opened.close()
+            permit.release(opened.stream.tokens)
+            return Failure(ResultCode.STREAM_KEY_WITHDRAWN, _WITHDRAWN_REASON)
         return self._open(opened, work, permit, principal)
 
+    def _is_withdrawn(self, principal: Principal) -> bool:
+        key = principal.key
+        return (
+            key is not None and self._catalog.keys_by_name.get(key.name) != key
+        )
+
+    def _key_refusal(self, principal: Principal) -> Failure | None:
+        """Returns why a key that was valid on arrival gives no right now."""
+        if principal.key is None:
+            return None
+        if self._is_withdrawn(principal):
+            return Failure(ResultCode.KEY_WITHDRAWN, _WITHDRAWN_REASON)
+        return self.keyed_refusal()
+
     def _open(
         self,
         opened: Opened,
