Encode whole numbers in fraction fields canonically

Cause: a catalog made in code with tokens_per_second=0 encoded as 0, but readers make 0.0 of it, so its digest did not match on reading. Change: to_plain converts fields declared as float. Result: the new test gets DIGEST_MISMATCH on the old code and passes. Conclusion: equal catalogs have equal digests.

--- a/libs/objects/src/shallotstand/objects/encoding.py
+++ b/libs/objects/src/shallotstand/objects/encoding.py
@@ -17,9 +17,19 @@
 
 
 def to_plain(item: Any) -> Any:
-    """Returns nested NamedTuples as dicts that orjson can encode."""
+    """Returns nested NamedTuples as dicts that orjson can encode.
+
+    Whole numbers in fields declared as float become fractions: 1 and 1.0 are
+    equal but encode differently, and readers always make the latter.
+    """
     if hasattr(item, "_asdict"):
-        return {name: to_plain(value) for name, value in item._asdict().items()}
+        types_by_field = type(item).__annotations__
+        return {
+            name: float(value)
+            if types_by_field[name] is float
+            else to_plain(value)
+            for name, value in item._asdict().items()
+        }
     if isinstance(item, tuple):
         return [to_plain(value) for value in item]
     return item
--- a/libs/objects/tests/test_delta.py
+++ b/libs/objects/tests/test_delta.py
@@ -91,3 +91,16 @@
         "- key k\n~ service drafts: flush_ms 10 -> 20\n"
     )
     assert render_diff(NEXT, BASE).startswith("+ key k\n")
+
+
+def test_whole_numbers_in_fraction_fields_keep_the_digest():
+    whole = NEXT._replace(
+        accounts_by_name={"a": ClientAccount("a", 1, 0, 0, False)},
+        services_by_name={
+            "drafts": DRAFTS._replace(tokens_per_second=0, deadline_s=30)
+        },
+    )
+    delta = Delta.decode(Delta.between(BASE, whole).encode())
+    assert apply_delta(BASE, delta) == whole
+    held = join_snapshot([encode_catalog(whole)], 2, catalog_digest(whole))
+    assert catalog_digest(held) == catalog_digest(whole)
