Answer NO_ENDPOINT early when a service has no live endpoint

Cause: requests for such a service waited in admission until their deadline and got 1019. Change: fair admission refuses them with 1012 once no endpoint has been live for 8 s, the time in which a sidecar that lost its link dials again (7.5 s with jitter) and reports (0.5 s); later ones at once. Result: the new test fails by its 2 s limit when the timer does nothing (planted in a scratch copy) and passes with it; a request whose endpoint returns within the grace time still runs. Conclusion: an engine that restarts for longer gives callers a 1012, which says "not run" and may be repeated. The first-come baseline is unchanged.

--- a/libs/serving/src/shallotstand/serving/fair_queue.py
+++ b/libs/serving/src/shallotstand/serving/fair_queue.py
@@ -36,6 +36,10 @@
 # A request whose turn comes with less time left than it usually runs, by this
 # factor, would take a slot for an answer that nobody waits for any more.
 RUN_MARGIN = 2.0
+# A sidecar that lost its link dials again within 7.5 s (5 s and jitter) and
+# reports its endpoints within another 0.5 s. An engine that is still away then
+# takes longer to restart than it is worth holding callers for.
+NO_ENDPOINT_GRACE_S = 8.0
 # Callers ask for more tokens than they use; each finished request moves the
 # account's ratio by this much.
 _RATIO_STEP = 0.05
@@ -43,6 +47,7 @@
 
 
 _NO_TURN = Failure(ResultCode.DEADLINE_PASSED, "No turn in time.")
+_NO_ENDPOINT = Failure(ResultCode.NO_ENDPOINT, "No endpoint is live.")
 
 
 class _Waiter(NamedTuple):
@@ -50,11 +55,11 @@
 
     Attributes:
       ticket: The request.
-      turn: Set to whether enough time is left when its turn comes.
+      turn: Set when its turn comes, to None if it may run.
     """
 
     ticket: Ticket
-    turn: asyncio.Future[bool]
+    turn: asyncio.Future[Failure | None]
 
 
 class _Account:
@@ -150,9 +155,13 @@
     Attributes:
       total_slots: Slots of the service for all entries.
       slots: Slots that this entry may fill.
+      empty_since: Since when no endpoint is live; None while one is.
+      grace: Runs out when waiting requests are refused for that.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
+        self.empty_since: float | None = now
+        self.grace: asyncio.TimerHandle | None = None
         self.total_slots = 0
         self.slots = 0
         self.running = 0
@@ -175,6 +184,36 @@
         ]
         self.slots = own_slots(self.total_slots, own, others)
 
+    def set_slots(self, slots: int, now: float) -> None:
+        """Takes the slots of the live endpoints."""
+        self.total_slots = slots
+        if slots == 0:
+            if self.empty_since is None:
+                self.empty_since = now
+            return
+        self.empty_since = None
+        if self.grace is not None:
+            self.grace.cancel()
+            self.grace = None
+
+    def grace_left(self, now: float) -> float | None:
+        """Returns the seconds that requests still wait for an endpoint.
+
+        None while an endpoint is live.
+        """
+        if self.empty_since is None:
+            return None
+        return max(0.0, self.empty_since + NO_ENDPOINT_GRACE_S - now)
+
+    def take_all(self) -> list[tuple[_Flow, _Waiter]]:
+        """Takes every request out of the queues."""
+        taken = []
+        for flow in self.flows_by_account.values():
+            for queue in flow.queues_by_class.values():
+                taken += [(flow, waiter) for waiter in queue]
+                queue.clear()
+        return taken
+
     def next_flow(self) -> _Flow | None:
         """Returns the flow whose turn it is."""
         ready = [f for f in self.flows_by_account.values() if f.can_start()]
@@ -295,9 +334,11 @@
     def set_capacity(self, service: str, slots: int) -> None:
         """Tells how many requests the service's endpoints run at once."""
         queue = self._queue(service)
-        queue.total_slots = slots
+        queue.set_slots(slots, self.now())
         self._divide(service)
         self._wake(queue)
+        if any(flow.waiting for flow in queue.flows_by_account.values()):
+            self._start_grace(queue)
 
     async def admit(self, ticket: Ticket) -> Permit | Failure:
         """Waits for the request's turn."""
@@ -318,17 +359,18 @@
         if flow.waiting == 1:
             self._divide(ticket.service)
         self._wake(queue)
+        self._start_grace(queue)
         try:
             async with asyncio.timeout(ticket.deadline - self.now()):
-                in_time = await turn
+                refusal = await turn
         except TimeoutError:
             self._abandon(queue, flow, waiter)
             return _NO_TURN
         except asyncio.CancelledError:
             self._abandon(queue, flow, waiter)
             raise
-        if not in_time:
-            return _NO_TURN
+        if refusal is not None:
+            return refusal
         return _FairPermit(self, flow, ticket, asked)
 
     def finish(
@@ -435,6 +477,8 @@
         if flow.waiting >= ticket.max_queue:
             return Failure(ResultCode.QUEUE_FULL, "The queue is full.")
         now = self.now()
+        if queue.grace_left(now) == 0:
+            return _NO_ENDPOINT
         if ticket.deadline <= now:
             return Failure(ResultCode.DEADLINE_PASSED, "No time is left.")
         bucket = flow.account.bucket
@@ -457,12 +501,29 @@
             if flow.account.bucket is not None:
                 flow.account.bucket.take(-waiter.ticket.cost)
         elif waiter.turn.done() and not waiter.turn.cancelled():
-            if not waiter.turn.result():
+            if waiter.turn.result() is not None:
                 return
             # Its turn had come just before the wait was cancelled.
             queue.finish(flow, waiter.ticket, 0)
         self._wake_all()
 
+    def _start_grace(self, queue: _ServiceQueue) -> None:
+        """Sees to it that nothing waits long for an endpoint."""
+        left_s = queue.grace_left(self.now())
+        if left_s is None or queue.grace is not None:
+            return
+        loop = asyncio.get_running_loop()
+        queue.grace = loop.call_later(left_s, self._end_grace, queue)
+
+    def _end_grace(self, queue: _ServiceQueue) -> None:
+        queue.grace = None
+        for flow, waiter in queue.take_all():
+            if waiter.turn.done():
+                continue  # cancelled; its task takes back what it reserved
+            if flow.account.bucket is not None:
+                flow.account.bucket.take(-waiter.ticket.cost)
+            waiter.turn.set_result(_NO_ENDPOINT)
+
     def _wake_all(self) -> None:
         # A concurrency limit spans services, so any of them may go on.
         for queue in self._queues_by_service.values():
@@ -484,7 +545,7 @@
                 queue.start(flow, waiter.ticket)
             elif flow.account.bucket is not None:
                 flow.account.bucket.take(-waiter.ticket.cost)
-            waiter.turn.set_result(in_time)
+            waiter.turn.set_result(None if in_time else _NO_TURN)
 
     def _flow(self, queue: _ServiceQueue, ticket: Ticket) -> _Flow:
         account = self._accounts_by_name.setdefault(ticket.account, _Account())
@@ -504,7 +565,9 @@
         return flow
 
     def _queue(self, service: str) -> _ServiceQueue:
-        return self._queues_by_service.setdefault(service, _ServiceQueue())
+        return self._queues_by_service.setdefault(
+            service, _ServiceQueue(self.now())
+        )
 
 
 def _moved(ratio: float, cost: float, tokens: float) -> float:
--- a/libs/serving/tests/test_fair_queue.py
+++ b/libs/serving/tests/test_fair_queue.py
@@ -9,6 +9,7 @@
 from shallotstand.core.clock import ManualClock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
+from shallotstand.serving import fair_queue
 from shallotstand.serving.admission import ServedTokens, Ticket
 from shallotstand.serving.fair_queue import FairAdmission
 
@@ -52,6 +53,46 @@
         await settle()
 
 
+def test_service_without_live_endpoint_refuses_before_the_deadline(
+    monkeypatch,
+):
+    monkeypatch.setattr(fair_queue, "NO_ENDPOINT_GRACE_S", 0.05)
+
+    async def check():
+        desk = Desk(slots=1)
+        running = desk.ask(ticket())
+        await settle()
+        waiting = desk.ask(ticket(tokens_per_second=9))
+        await settle()
+        desk.admission.set_capacity("s", 0)
+        async with asyncio.timeout(2):
+            assert (await waiting).code == ResultCode.NO_ENDPOINT
+        (await running).release(100)
+        desk.clock.advance(0.05)
+        late = await desk.admission.admit(ticket())
+        assert late.code == ResultCode.NO_ENDPOINT
+        desk.admission.set_capacity("s", 1)
+        assert not isinstance(await desk.admission.admit(ticket()), Failure)
+
+    asyncio.run(check())
+
+
+def test_endpoint_that_returns_within_the_grace_time_runs_the_request(
+    monkeypatch,
+):
+    monkeypatch.setattr(fair_queue, "NO_ENDPOINT_GRACE_S", 0.05)
+
+    async def check():
+        desk = Desk(slots=0)
+        waiting = desk.ask(ticket())
+        await settle()
+        desk.admission.set_capacity("s", 1)
+        await asyncio.sleep(0.1)
+        assert not isinstance(await waiting, Failure)
+
+    asyncio.run(check())
+
+
 def test_flooding_account_delays_no_other_account():
     async def check():
         desk = Desk(slots=1)
