--- a/apps/entry/tests/test_gateway.py
+++ b/apps/entry/tests/test_gateway.py
@@ -1,4 +1,4 @@
-"""Keys that are withdrawn while their requests wait."""
+"""Keys: whom they let in, where they go, and their withdrawal."""
 
 import asyncio
 import types
@@ -53,6 +53,7 @@
 
     async def run(self, work):
         self.runs += 1
+        self.work = work
         await self.answered.wait()
         stream = AnswerStream(1)
         stream.put(Frame(1, data=b"part"))
@@ -148,3 +149,20 @@
         assert last.code == Code.CANCELLED
 
     asyncio.run(check())
+
+
+def test_request_runs_for_the_account_of_its_key_without_the_key():
+    async def check():
+        stage = Stage()
+        accounts = {"other": ClientAccount("other", 1.0, 0.0, 0, True)}
+        stage.gateway.adopt(
+            CATALOG._replace(
+                accounts_by_name=accounts | CATALOG.accounts_by_name
+            )
+        )
+        stage.admitted.set()
+        await stage.serve_until(stage.answered, lambda: None)
+        assert stage.work.message.account == "club"
+        assert "secret" not in repr(stage.work)
+
+    asyncio.run(check())
--- a/libs/control/tests/test_usage.py
+++ b/libs/control/tests/test_usage.py
@@ -11,7 +11,11 @@
     rule,
     run_state_machine_as_test,
 )
-from shallotstand.control.usage_book import missing
+from shallotstand.control.usage_book import (
+    count_records,
+    missing,
+    open_book,
+)
 from shallotstand.control.usage_copies import UsageCopies
 from shallotstand.control.usage_reports import Reporter
 from shallotstand.control.usage_shards import ShardCollector
@@ -303,3 +307,29 @@
 
 def test_lost_records_are_counted_by_the_gap():
     assert missing({"number": 3, "beyond": [6, 7], "touched": 0}) == 2
+
+
+def test_copies_that_come_twice_and_out_of_order_count_once():
+    book = open_book(0, 1)
+    for number in (2, 2, 1, 2, 1):
+        count_records(book, "run/0", [record(number, 0)])
+    assert sum(f[0] for f in book["figures"]["club"].values()) == 2
+
+
+def test_second_holder_with_other_figures_sends_the_frozen_ones():
+    async def check():
+        store, sent = StandinObjectStore(), []
+
+        class Sink:
+            async def report(self, account, window, body):
+                sent.append(body)
+
+        for number in (1, 2):
+            book = open_book(0, number)
+            count_records(book, "run/0", [record(number, 0)] * number)
+            book["figures"]["club"]["0"][0] = number
+            await Reporter(store, Sink(), FAST).report("club", book)
+        assert len(sent) == 2
+        assert sent[0] == sent[1]
+
+    asyncio.run(check())
--- a/libs/rollout/tests/test_handover.py
+++ b/libs/rollout/tests/test_handover.py
@@ -248,6 +248,10 @@
         ):
             made = sample(handover.next_id(slot), version)
             assert handover.add(made).code == code
+        # The oldest span counts, though the answer went on with a new one.
+        spans = (VersionSpan("v3", 1), VersionSpan("v5", 2))
+        mixed = sample(handover.next_id(slot))._replace(spans=spans)
+        assert handover.add(mixed).code == ResultCode.SAMPLE_STALE
         assert handover.add(sample(handover.next_id(slot), "v4")) is None
 
     run(check)
