Take rollout steps over HTTP in the demo

Cause: the demo sent rollout prompts as plain completions, so neither the trainer routes nor the scorer ran between processes. The stand-in scorer took a list of samples, while the entry sends one prompt and text.

Change: the demo's configuration has a job and a scorer. The stand-in scorer answers {"prompt", "text"} with {"score"} at the service's path. "delivered" now counts samples of acknowledged steps. Endpoints may run in programs of their own, so that a test can end one engine.

Conclusion: the whole rollout path runs over real processes.

--- a/apps/standins/src/shallotstand/standins/demo_checks.py
+++ b/apps/standins/src/shallotstand/standins/demo_checks.py
@@ -17,15 +17,19 @@
 from shallotstand.standins.demo_config import (
     GUEST_KEY,
     INTERNAL_PATH,
+    JOB,
     MODEL,
     PLAIN_PATH,
     TRAINER_KEY,
 )
 from shallotstand.standins.demo_fleet import FleetPlan
 from shallotstand.standins.engine import token_text
+from shallotstand.standins.scorer import score
+from shallotstand.standins.trainer import Trainer, TrainerAnswer
 
 _COMPLETIONS = "/v1/completions"
-_ROLLOUTS = 48
+_BATCH = 48
+_STEPS = 2
 _STREAMS = 16
 _PLAIN_CALLS = 16
 _TOKENS = 12
@@ -38,9 +42,11 @@
     Attributes:
       served: Whole and right answers.
       refused: Refusals with the expected code.
-      delivered: Rollout samples with the right text and weight versions.
-      duplicated: Requests that ran to the end more than once.
-      lost: Requests without a right answer.
+      delivered: Samples of acknowledged steps.
+      duplicated: Requests that ran, or samples that were delivered, more than
+        once.
+      lost: Requests without a right answer, and samples of steps that were
+        not delivered.
       faults: One sentence for each expectation that failed.
     """
 
@@ -69,6 +75,11 @@
             for entry in self.plan.entries
         )
 
+    def trainer(self, key: str) -> Trainer:
+        """Returns a trainer of the demo's job."""
+        urls = tuple(f"http://{entry.listen}" for entry in self.plan.entries)
+        return Trainer(self.session, urls, key, JOB.name)
+
     async def records(self, kind: str) -> list[dict]:
         """Returns the records of the stand-ins of a kind."""
         records = []
@@ -89,14 +100,14 @@
     return Tally()
 
 
-async def check_rollouts(demo: Demo) -> Tally:
-    """Rollout prompts get one whole sample each, with its versions."""
-    prompts = [f"Draft the site plan {n}" for n in range(_ROLLOUTS)]
+async def check_whole_answers(demo: Demo) -> Tally:
+    """Prompts get one whole completion each, with its weight versions."""
+    prompts = [f"Draft the site plan {n}" for n in range(_BATCH)]
     answers = await _ask(demo, prompts, stream=False, priority="rollout")
     faults = [
-        f"Rollout {prompt!r}: {answer.status} {answer.code}"
+        f"Prompt {prompt!r}: {answer.status} {answer.code}"
         for prompt, answer in zip(prompts, answers, strict=True)
-        if not _is_sample(prompt, answer)
+        if not _is_completion(prompt, answer)
     ]
     finished = collections.Counter(
         run["prompt"]
@@ -107,13 +118,36 @@
     right = len(prompts) - len(faults)
     return Tally(
         served=right,
-        delivered=right,
         duplicated=sum(finished[prompt] > 1 for prompt in prompts),
         lost=len(faults),
         faults=tuple(faults),
     )
 
 
+async def check_steps(demo: Demo) -> Tally:
+    """A trainer takes whole steps, each sample once."""
+    trainer = demo.trainer(TRAINER_KEY)
+    expected = JOB.group_size * JOB.groups_per_step
+    delivered: collections.Counter[str] = collections.Counter()
+    faults: list[str] = []
+    for number in range(_STEPS):
+        groups = step_groups(number)
+        step = await trainer.take(number, groups)
+        found = step_faults(number, step)
+        if not found:
+            found = await _commit_faults(trainer, number, step.digest)
+        if not found:
+            delivered.update(sample["id"] for sample in step.samples)
+        faults += [f"Step {number}: {fault}" for fault in found]
+    return Tally(
+        served=len(delivered),
+        delivered=delivered.total(),
+        duplicated=delivered.total() - len(delivered),
+        lost=expected * _STEPS - len(delivered),
+        faults=tuple(faults),
+    )
+
+
 async def check_streams(demo: Demo) -> Tally:
     """Streamed answers arrive whole and in order."""
     prompts = [f"Describe plot {n}" for n in range(_STREAMS)]
@@ -170,6 +204,12 @@
         (GUEST_KEY, _COMPLETIONS, b"{", ResultCode.BAD_REQUEST),
         (GUEST_KEY, "/nowhere", b"", ResultCode.ROUTE_UNKNOWN),
         (GUEST_KEY, INTERNAL_PATH, b"", ResultCode.NOT_ALLOWED),
+        (
+            GUEST_KEY,
+            f"/v1/jobs/{JOB.name}/steps/0",
+            b"",
+            ResultCode.NOT_ALLOWED,
+        ),
     )
     faults = []
     for key, path, body, code in cases:
@@ -183,7 +223,8 @@
 
 async def check_keys_stay(demo: Demo) -> Tally:
     """No endpoint has seen a caller's key."""
-    records = await demo.records("model") + await demo.records("plain")
+    kinds = ("model", "plain", "scorer")
+    records = [r for kind in kinds for r in await demo.records(kind)]
     faults = tuple(
         "An endpoint got an Authorization header."
         for record in records
@@ -193,7 +234,8 @@
 
 
 CHECKS = (
-    check_rollouts,
+    check_whole_answers,
+    check_steps,
     check_streams,
     check_plain_calls,
     check_refusals,
@@ -201,6 +243,52 @@
 )
 
 
+def step_groups(number: int) -> list[dict]:
+    """Returns the groups of a step, each with a prompt of its own."""
+    return [
+        {"prompt": f"Plan {number} of site {n}", "max_tokens": _TOKENS}
+        for n in range(JOB.groups_per_step)
+    ]
+
+
+def step_faults(number: int, step: TrainerAnswer) -> list[str]:
+    """Returns what is wrong with a fetched step.
+
+    Args:
+      number: Number of the step.
+      step: The answer to the fetch of a step of `step_groups`.
+    """
+    if step.status != 200:
+        return [f"{step.status} {step.code}"]
+    prompts = [group["prompt"] for group in step_groups(number)]
+    places = [(s["group"], s["index"]) for s in step.samples]
+    slots = itertools.product(range(len(prompts)), range(JOB.group_size))
+    faults = [] if places == list(slots) else ["Slots are missing."]
+    for sample in step.samples:
+        prompt = prompts[sample["group"]]
+        text = expected_text(prompt)
+        if sample["weight_spans"] != [{"version": "v1", "tokens": _TOKENS}]:
+            faults.append(f"{sample['id']} has wrong weight versions.")
+        if sample["text"] != text or sample["score"] != score(prompt, text):
+            faults.append(f"{sample['id']} has a wrong text or score.")
+    return faults
+
+
+async def _commit_faults(
+    trainer: Trainer, number: int, digest: str
+) -> list[str]:
+    """Acknowledges a step twice, then asks for it again."""
+    first = await trainer.acknowledge(number, digest)
+    second = await trainer.acknowledge(number, digest)
+    again = await trainer.fetch(number)
+    faults = []
+    if first.status != 200 or first != second:
+        faults.append(f"Acknowledged with {first.code}, {second.code}.")
+    if again.code != ResultCode.STEP_ACKNOWLEDGED:
+        faults.append(f"Fetched again with {again.code}.")
+    return faults
+
+
 def expected_text(prompt: str) -> str:
     """Returns the text that every engine generates for a prompt."""
     return "".join(token_text(prompt, index) for index in range(_TOKENS))
@@ -222,7 +310,7 @@
     )
 
 
-def _is_sample(prompt: str, answer: CallerAnswer) -> bool:
+def _is_completion(prompt: str, answer: CallerAnswer) -> bool:
     if answer.status != 200:
         return False
     sample = orjson.loads(answer.body)
--- a/apps/standins/src/shallotstand/standins/demo_config.py
+++ b/apps/standins/src/shallotstand/standins/demo_config.py
@@ -6,6 +6,8 @@
     ClientAccount,
     Endpoint,
     Key,
+    ModelVersion,
+    RolloutJob,
     Service,
 )
 
@@ -14,6 +16,18 @@
 MODEL = "drafts"
 PLAIN_PATH = "/quotes"
 INTERNAL_PATH = "/soil"
+SCORER = "marks"
+JOB = RolloutJob(
+    name="plans",
+    account="trainer",
+    service=MODEL,
+    group_size=4,
+    groups_per_step=4,
+    staleness_bound=1,
+    scorer=SCORER,
+    after="",
+    step_deadline_s=60.0,
+)
 
 
 def demo_catalog(endpoints_by_service: dict[str, dict[str, str]]) -> Catalog:
@@ -26,6 +40,7 @@
         _service(MODEL, kind="model", model=MODEL, idempotent=True),
         _service("quotes", path=PLAIN_PATH),
         _service("soil", path=INTERNAL_PATH, internal=True),
+        _service(SCORER, path="/marks", internal=True, idempotent=True),
     )
     return Catalog.empty()._replace(
         revision=1,
@@ -48,6 +63,8 @@
             )
             for service in services
         },
+        versions_by_name={"v1": ModelVersion("v1", MODEL, 1, "drafts/v1")},
+        jobs_by_name={JOB.name: JOB},
     )
 
 
--- a/apps/standins/src/shallotstand/standins/demo_fleet.py
+++ b/apps/standins/src/shallotstand/standins/demo_fleet.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from shallotstand.settings.options import Host
-from shallotstand.standins.demo_config import MODEL
+from shallotstand.standins.demo_config import MODEL, SCORER
 from shallotstand.standins.processes import Program, free_address
 
 _SIDECAR_MODULE = "shallotstand.sidecar.main"
@@ -20,9 +20,10 @@
     Attributes:
       name: Name of the endpoint.
       service: Service that it serves.
-      kind: `model` or `plain`.
+      kind: `model`, `plain` or `scorer`.
       address: Where the stand-in listens.
       sidecar: Name of the sidecar beside it.
+      program: Name of the program that runs it.
     """
 
     name: str
@@ -30,6 +31,7 @@
     kind: str
     address: Host
     sidecar: str
+    program: str = "endpoints"
 
 
 class EntryPlan(NamedTuple):
@@ -59,12 +61,13 @@
 
     @classmethod
     def demo(cls) -> "FleetPlan":
-        """Three engines and a plain service, two sidecars, two entries."""
+        """Three engines, two plain services, two sidecars, two entries."""
         kinds = (
             ("e1", MODEL, "model", "sidecar-1"),
             ("e2", MODEL, "model", "sidecar-1"),
             ("e3", MODEL, "model", "sidecar-2"),
             ("q1", "quotes", "plain", "sidecar-2"),
+            ("m1", SCORER, "scorer", "sidecar-2"),
         )
         return cls(
             free_address(),
@@ -106,9 +109,10 @@
     async def start(self) -> None:
         """Starts every program; the order is of no importance to them."""
         sidecars = sorted({e.sidecar for e in self.plan.endpoints})
+        programs = sorted({e.program for e in self.plan.endpoints})
         starts = [
             self._start("platform", _STANDINS_MODULE, self._platform()),
-            self._start("endpoints", _STANDINS_MODULE, self._endpoints()),
+            *(self.start_endpoints(program) for program in programs),
             *(
                 self._start(name, _SIDECAR_MODULE, self._sidecar(name))
                 for name in sidecars
@@ -130,9 +134,9 @@
         statuses = await asyncio.gather(*(p.stop() for p in programs))
         return dict(zip(self.programs_by_name, statuses, strict=True))
 
-    async def start_endpoints(self) -> None:
-        """Starts the endpoints' program again after its end."""
-        await self._start("endpoints", _STANDINS_MODULE, self._endpoints())
+    async def start_endpoints(self, program: str = "endpoints") -> None:
+        """Starts a program of endpoints, maybe again after its end."""
+        await self._start(program, _STANDINS_MODULE, self._endpoints(program))
 
     async def _start(self, name: str, module: str, settings: str) -> None:
         self.programs_by_name[name] = await Program.start(
@@ -142,13 +146,18 @@
     def _platform(self) -> str:
         return f'[[platform]]\nlisten = "{self.plan.store}"\n'
 
-    def _endpoints(self) -> str:
-        return "".join(self._endpoint(e) for e in self.plan.endpoints)
+    def _endpoints(self, program: str) -> str:
+        return "".join(
+            self._endpoint(endpoint)
+            for endpoint in self.plan.endpoints
+            if endpoint.program == program
+        )
 
     def _endpoint(self, endpoint: EndpointPlan) -> str:
         lines = [f'name = "{endpoint.name}"', f'listen = "{endpoint.address}"']
-        if endpoint.kind == "plain":
-            return _table("plain", lines)
+        if endpoint.kind != "model":
+            is_scorer = str(endpoint.kind == "scorer").lower()
+            return _table("plain", [*lines, f"scorer = {is_scorer}"])
         fields = [f'model = "{MODEL}"', self.plan.engine_fields]
         return _table("engine", lines + fields)
 
@@ -165,7 +174,7 @@
                 [
                     f'name = "{endpoint.name}"',
                     f'service = "{endpoint.service}"',
-                    f'kind = "{endpoint.kind}"',
+                    f'kind = "{_service_kind(endpoint)}"',
                     f'url = "http://{endpoint.address}"',
                 ],
             )
@@ -188,5 +197,9 @@
         return "\n".join(lines)
 
 
+def _service_kind(endpoint: EndpointPlan) -> str:
+    return "model" if endpoint.kind == "model" else "plain"
+
+
 def _table(name: str, lines: Iterable[str]) -> str:
     return "\n".join((f"[[{name}]]", *lines, ""))
--- a/apps/standins/src/shallotstand/standins/settings.py
+++ b/apps/standins/src/shallotstand/standins/settings.py
@@ -78,7 +78,7 @@
     {
         "name": Name("Name of the service's endpoint."),
         "listen": _LISTEN,
-        "scorer": Flag("Whether it also scores samples at /score."),
+        "scorer": Flag("Whether it scores samples posted to /."),
         "slots": Integer("Requests that it reports to take.", 16, minimum=1),
     }
 )
