--- a/apps/standins/src/shallotstand/standins/demo_checks.py
+++ b/apps/standins/src/shallotstand/standins/demo_checks.py
@@ -23,7 +23,7 @@
     TRAINER_KEY,
 )
 from shallotstand.standins.demo_fleet import FleetPlan
-from shallotstand.standins.engine import token_text
+from shallotstand.standins.engine import token_texts
 from shallotstand.standins.scorer import score
 from shallotstand.standins.trainer import Trainer, TrainerAnswer
 
@@ -291,7 +291,7 @@
 
 def expected_text(prompt: str) -> str:
     """Returns the text that every engine generates for a prompt."""
-    return "".join(token_text(prompt, index) for index in range(_TOKENS))
+    return "".join(itertools.islice(token_texts(prompt), _TOKENS))
 
 
 async def _ask(
--- a/apps/standins/src/shallotstand/standins/engine.py
+++ b/apps/standins/src/shallotstand/standins/engine.py
@@ -5,7 +5,7 @@
 import itertools
 import random
 from collections import OrderedDict, deque
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from typing import NamedTuple
 
 from shallotstand.core.clock import Clock, SystemClock
@@ -148,12 +148,12 @@
         done = 0
         try:
             await asyncio.sleep(self._prefill(prompt))
-            for index in range(max_tokens):
+            for token in itertools.islice(token_texts(prompt), max_tokens):
                 await asyncio.sleep(self.profile.token_s)
                 if incarnation != self.incarnation or self.is_crashed:
                     return
                 done += 1
-                yield Token(token_text(prompt, index), self.version)
+                yield Token(token, self.version)
         finally:
             self.runs.append(
                 EngineRun(request_id, prompt, done, done == max_tokens)
@@ -283,7 +283,14 @@
         return missing * self.profile.prefill_s
 
 
-def token_text(prompt: str, index: int) -> str:
-    """Returns the token that every engine generates at an index."""
-    digest = hashlib.blake2b(f"{index}:{prompt}".encode(), digest_size=3)
-    return digest.hexdigest() + " "
+def token_texts(prompt: str) -> Iterator[str]:
+    """Yields the tokens that every engine generates after a prompt.
+
+    Each depends on all text before it, as with greedy decoding, so that a
+    continuation elsewhere equals a completion in one piece.
+    """
+    context = hashlib.blake2b(prompt.encode(), digest_size=3)
+    while True:
+        token = context.hexdigest() + " "
+        context.update(token.encode())
+        yield token
