Test the refusals of the trainer routes over HTTP

Cause: only the service behind the routes was tested, so nothing showed which number and status a trainer gets for a wrong key, job, body or digest.

Change: one test sends 12 requests of strangers and 19 wrong or repeated ones to the job's holder, before and after an acknowledgement.

Conclusion: no fault was found in the routes.

--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -4,7 +4,9 @@
 import pathlib
 
 import aiohttp
+import orjson
 from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
 from shallotstand.standins.demo import publish
 from shallotstand.standins.demo_checks import (
     Demo,
@@ -12,12 +14,14 @@
     step_groups,
     wait_ready,
 )
-from shallotstand.standins.demo_config import JOB, TRAINER_KEY
+from shallotstand.standins.demo_config import GUEST_KEY, JOB, TRAINER_KEY
 from shallotstand.standins.demo_fleet import Fleet, FleetPlan
+from shallotstand.standins.trainer import Trainer
 
 STEP_SAMPLES = JOB.group_size * JOB.groups_per_step
 # The lease is taken over 12 to 15 s after the holder's last renewal.
 TIMEOUT_S = 30.0
+ACK = "/0/ack"
 
 
 def run_fleet(plan: FleetPlan, directory: pathlib.Path, check) -> None:
@@ -119,3 +123,63 @@
     """Returns the number of requests that an engine reports to run."""
     async with demo.session.get(f"http://{address}/load") as response:
         return (await response.json())["running"]
+
+
+def groups_body(number: int, **fields) -> bytes:
+    return orjson.dumps(
+        {"groups": [group | fields for group in step_groups(number)]}
+    )
+
+
+def refused_requests(digest: str):
+    """Returns method, path, body and code of requests after a sealed step."""
+    fewer = orjson.dumps({"groups": step_groups(0)[1:]})
+    conflict = groups_body(0, max_tokens=1)
+    other = orjson.dumps({"digest": "other"})
+    same = orjson.dumps({"digest": digest})
+    return (
+        ("POST", "/1", b"", ResultCode.BAD_REQUEST),
+        ("POST", "/1", b'{"groups":', ResultCode.BAD_REQUEST),
+        ("POST", "/1", b"\xff", ResultCode.BAD_REQUEST),
+        ("POST", "/1", b"[]", ResultCode.BAD_REQUEST),
+        ("POST", "/1", b'{"groups":{}}', ResultCode.BAD_REQUEST),
+        ("POST", "/1", b'{"groups":[1]}', ResultCode.BAD_REQUEST),
+        ("POST", "/1", b'{"groups":[{"prompt":1}]}', ResultCode.BAD_REQUEST),
+        ("POST", "/1", fewer, ResultCode.BAD_REQUEST),
+        ("POST", "/0", conflict, ResultCode.STEP_CONFLICT),
+        ("POST", "/9", groups_body(9), ResultCode.STEP_OUT_OF_ORDER),
+        ("GET", "/1", b"", ResultCode.STEP_UNKNOWN),
+        ("GET", "/0?wait=soon", b"", ResultCode.BAD_REQUEST),
+        ("GET", "/first", b"", ResultCode.ROUTE_UNKNOWN),
+        ("POST", "/0/ack", b"", ResultCode.BAD_REQUEST),
+        ("POST", "/0/ack", b'{"digest":1}', ResultCode.BAD_REQUEST),
+        ("POST", "/0/ack", other, ResultCode.STEP_RESEALED),
+        ("POST", "/1/ack", other, ResultCode.STEP_UNKNOWN),
+        ("POST", "/0/ack", same, ResultCode.OK),
+        ("POST", "/0/ack", other, ResultCode.STEP_ACKNOWLEDGED),
+    )
+
+
+def test_trainer_routes_refuse_with_their_codes(tmp_path):
+    # Guards against refusals without a number and against a refused request
+    # that changes the step.
+    async def check(fleet, demo):
+        trainer = demo.trainer(TRAINER_KEY)
+        digest = (await trainer.take(0, step_groups(0))).digest
+        url = trainer.url
+        for key, job, code in (
+            ("", JOB.name, ResultCode.KEY_MISSING),
+            ("wrong", JOB.name, ResultCode.KEY_UNKNOWN),
+            (GUEST_KEY, JOB.name, ResultCode.NOT_ALLOWED),
+            (TRAINER_KEY, "none", ResultCode.JOB_UNKNOWN),
+        ):
+            stranger = Trainer(demo.session, (url,), key, job)
+            for method, path in (("POST", "/0"), ("GET", "/0"), ("POST", ACK)):
+                answer = await stranger.ask(url, method, path, b"{}")
+                assert answer.code == code, (method, path)
+                assert answer.status == Failure(code, "").info.http_status
+        for method, path, body, code in refused_requests(digest):
+            answer = await trainer.ask(url, method, path, body)
+            assert answer.code == code, (method, path, body, answer)
+
+    run_fleet(FleetPlan.demo(), tmp_path, check)
