Keep copies of usage records in the entry

Cause: A sidecar that was killed took its records of answered requests with it, since the entries kept no copies. A stream that the loss of an entry cut was billed.

Change: The last Frame names the source and window of the record; the entry keeps a copy until a UsageAck passes it and sends it to the controllers when the sidecar is lost. Copies older than the windows for which a holder remembers sources are dropped: one behind a gap is never acknowledged and would be counted again. The entry gets the setting window_s. The sidecar does not bill a stream that a lost link cut.

--- a/apps/entry/src/shallotstand/entry/main.py
+++ b/apps/entry/src/shallotstand/entry/main.py
@@ -9,6 +9,7 @@
 import uvloop
 from absl import logging
 from shallotstand.control.adoption import ConfigKeeper
+from shallotstand.control.usage_copies import UsageCopies
 from shallotstand.core import logs
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.codes import ResultCode
@@ -24,7 +25,15 @@
 from shallotstand.entry.shares import ShareExchange
 from shallotstand.entry.sidecars import Fleet, FleetListener
 from shallotstand.entry.trainer_front import add_trainer_routes
-from shallotstand.link.messages import Crash, Message, Peer, Release, Share
+from shallotstand.entry.usage_backup import UsageBackup
+from shallotstand.link.messages import (
+    Crash,
+    Message,
+    Peer,
+    Release,
+    Share,
+    UsageAck,
+)
 from shallotstand.link.node import Identity, Node, PeerConnection
 from shallotstand.objects.types import Catalog, RolloutJob
 from shallotstand.platform.http_store import HttpObjectStore
@@ -49,6 +58,7 @@
         self.crashes = CrashDesk(clock)
         self.shares = ShareExchange(self.admission)
         self.rollouts = RolloutService()
+        self.usage = UsageBackup(UsageCopies(), settings.window_s, clock)
         index = DecayingPrefixIndex(clock)
         self.fleet = Fleet(
             FleetListener(
@@ -57,6 +67,7 @@
                 lost=self.crashes.report_lost,
                 index=index,
                 samples=self.rollouts.take_offer,
+                usage=self.usage.add,
             )
         )
         policies = Policies(
@@ -89,6 +100,7 @@
             identity, self._serve_peer, clock, self.crashes.describe
         )
         self.crashes.node = self.shares.node = self.node
+        self.usage.node = self.node
         keeper = ConfigKeeper(str(address), map(str, settings.entries), clock)
         serve_by(keeper, self.gateway)
         self.config_sync = ConfigSync(keeper, store, self.node)
@@ -122,11 +134,16 @@
             access_log=False,
         )
         await http_server.startup()
-        sharing = asyncio.create_task(self.shares.run())
+        tasks = [
+            asyncio.create_task(run())
+            for run in (self.shares.run, self.usage.run)
+        ]
         logs.event(logging.INFO, "Started", listen=str(self.settings.listen))
         await stopping.wait()
         await self._drain()
-        sharing.cancel()
+        self.usage.send()
+        for task in tasks:
+            task.cancel()
         self.rollouts.close()
         await http_server.close()
         await self.config_sync.close()
@@ -172,6 +189,8 @@
                 self.crashes.take_crash(message)
             case Release():
                 self.crashes.take_release(message)
+            case UsageAck():
+                self.usage.take_ack(message)
 
     async def _drain(self) -> None:
         self.gateway.refusal = Failure(
--- a/apps/entry/src/shallotstand/entry/settings.py
+++ b/apps/entry/src/shallotstand/entry/settings.py
@@ -49,6 +49,9 @@
             660.0,
             unit="seconds",
         ),
+        "window_s": Integer(
+            "Length of a usage window.", 300, minimum=1, unit="seconds"
+        ),
         "interactive_first": Flag(
             "Whether interactive requests go before rollouts.", True
         ),
@@ -70,6 +73,7 @@
     request_timeout_s: float
     shutdown_deadline_s: float
     interactive_first: bool
+    window_s: int = 300
 
     @classmethod
     def from_config(cls, config: Mapping[str, Any]) -> "EntrySettings":
--- a/apps/entry/src/shallotstand/entry/sidecars.py
+++ b/apps/entry/src/shallotstand/entry/sidecars.py
@@ -23,6 +23,7 @@
     SampleOffer,
     SampleRelease,
     Submit,
+    UsageRecord,
 )
 from shallotstand.link.node import PeerConnection
 from shallotstand.serving.prefix_index import PrefixIndex
@@ -159,7 +160,7 @@
                             stream.put(chunk)
                 case Frames(frames):
                     for frame in frames:
-                        self._take_frame(frame)
+                        self._take_frame(frame, fleet)
                 case Load(endpoints):
                     for report in endpoints:
                         self._take_report(report, fleet)
@@ -193,14 +194,30 @@
                 number, ResultCode.LINK_LOST, "The sidecar's link was lost."
             )
 
-    def _take_frame(self, frame: Frame) -> None:
+    def _take_frame(self, frame: Frame, fleet: "Fleet") -> None:
         stream = self._streams_by_number.get(frame.stream)
         if stream is None:
             return  # the caller has gone; the sidecar had not heard of it yet
         if frame.end:
+            if frame.record:
+                record = self._usage_record(frame)
+                fleet.on_usage(frame.source, record)
             self._forget(frame.stream)
         stream.put(frame)
 
+    def _usage_record(self, frame: Frame) -> UsageRecord:
+        """Returns the record that the sidecar made for an answer."""
+        request = self._requests_by_number[frame.stream]
+        return UsageRecord(
+            number=frame.record,
+            account=request.account,
+            service=self.endpoints_by_name[request.endpoint].info.service,
+            window=frame.window,
+            prompt_tokens=frame.prompt_tokens,
+            completion_tokens=frame.completion_tokens,
+            request_id=request.request_id,
+        )
+
     def _take_report(self, report: EndpointLoad, fleet: "Fleet") -> None:
         endpoint = self.endpoints_by_name.get(report.name)
         if endpoint is not None:
@@ -223,6 +240,7 @@
       lost: Called as lost(message) for each endpoint of a lost sidecar.
       index: Learns what the endpoints' prefix caches hold.
       samples: Called as samples(message) with a SampleOffer message.
+      usage: Called as usage(source, record) at the end of a billed answer.
     """
 
     capacity: Callable[[str, int], None]
@@ -230,6 +248,7 @@
     lost: Callable[[Crash], None] = lambda _: None
     index: PrefixIndex | None = None
     samples: Callable[[SampleOffer], None] = lambda _: None
+    usage: Callable[[str, UsageRecord], None] = lambda *_: None
 
 
 class Fleet:
@@ -283,6 +302,10 @@
         """Passes retained samples to the listener."""
         self._listener.samples(offer)
 
+    def on_usage(self, source: str, record: UsageRecord) -> None:
+        """Passes the record of an answer to the listener."""
+        self._listener.usage(source, record)
+
     def on_capacity(self, service: str) -> None:
         """Tells the listener how many requests a service runs at once."""
         slots = sum(
--- /dev/null
+++ b/apps/entry/src/shallotstand/entry/usage_backup.py
@@ -0,0 +1,66 @@
+"""Sends the usage records of lost sidecars from this entry's copies."""
+
+import asyncio
+
+from shallotstand.control.usage_book import FORGET_WINDOWS
+from shallotstand.control.usage_copies import UsageCopies
+from shallotstand.core.clock import Clock
+from shallotstand.link.messages import Usage, UsageAck, UsageRecord
+from shallotstand.link.node import Node
+
+SEND_INTERVAL_S = 5.0
+# As many as a sidecar sends at once, well below the limit of a message.
+MAX_RECORDS = 8192
+# The holder counts a source's windows from the last record that it counted,
+# which may be one window before the newest record's own.
+KEEP_WINDOWS = FORGET_WINDOWS - 2
+
+
+class UsageBackup:
+    """Keeps copies of usage records and sends those without a sidecar.
+
+    Attributes:
+      node: Connections to the peers; set right after construction.
+    """
+
+    node: Node
+
+    def __init__(self, copies: UsageCopies, window_s: int, clock: Clock):
+        """Initializes without any copy.
+
+        Args:
+          copies: Where the records are kept.
+          window_s: Length of a usage window in seconds.
+          clock: Clock of the process.
+        """
+        self._copies = copies
+        self._window_s = window_s
+        self._clock = clock
+
+    def add(self, source: str, record: UsageRecord) -> None:
+        """Keeps the record of an answer."""
+        self._copies.add(source, record)
+
+    def take_ack(self, ack: UsageAck) -> None:
+        """Forgets the records that the shard's checkpoint has."""
+        self._copies.acknowledge(ack.source, ack.number)
+
+    async def run(self) -> None:
+        """Sends what lost sidecars can't, every 5 s until cancelled."""
+        while True:
+            await asyncio.sleep(SEND_INTERVAL_S)
+            self.send()
+
+    def send(self) -> None:
+        """Sends the records of lost sidecars to the controllers.
+
+        All controllers get them: who holds a shard is not known here, and
+        the others ignore them.
+        """
+        oldest = int(self._clock.wall()) - KEEP_WINDOWS * self._window_s
+        self._copies.forget_before(oldest)
+        sidecars = self.node.peers("sidecar")
+        live = {peer.hello.incarnation for peer in sidecars}
+        for source, records in self._copies.orphans(live).items():
+            usage = Usage(source, records[:MAX_RECORDS])
+            self.node.broadcast(usage, "controller")
--- /dev/null
+++ b/apps/entry/tests/test_usage_backup.py
@@ -0,0 +1,71 @@
+"""Guards against lost records and against records that are counted twice."""
+
+import types
+
+from shallotstand.control.usage_book import (
+    count_records,
+    next_book,
+    open_book,
+)
+from shallotstand.control.usage_copies import UsageCopies
+from shallotstand.core.clock import ManualClock
+from shallotstand.entry.usage_backup import UsageBackup
+from shallotstand.link.messages import Usage, UsageAck, UsageRecord
+
+WINDOW_S = 300
+
+
+class FakeNode:
+    def __init__(self, *incarnations):
+        self.incarnations = incarnations
+        self.sent = []
+
+    def peers(self, role):
+        assert role == "sidecar"
+        hellos = [
+            types.SimpleNamespace(incarnation=i) for i in self.incarnations
+        ]
+        return [types.SimpleNamespace(hello=hello) for hello in hellos]
+
+    def broadcast(self, message, *roles):
+        assert roles == ("controller",)
+        self.sent.append(message)
+
+
+def make(clock, *incarnations):
+    backup = UsageBackup(UsageCopies(), WINDOW_S, clock)
+    backup.node = FakeNode(*incarnations)
+    return backup, backup.node
+
+
+def record(number, window=0):
+    return UsageRecord(number, "club", "drafts", window, 1, 5)
+
+
+def test_only_what_no_checkpoint_and_no_sidecar_has_is_sent():
+    backup, node = make(ManualClock(wall=10.0), "alive")
+    for source in ("alive/0", "lost/0"):
+        for number in (1, 2, 3):
+            backup.add(source, record(number))
+    backup.take_ack(UsageAck("lost/0", 2))
+    backup.send()
+    assert node.sent == [Usage("lost/0", (record(3),))]
+
+
+def test_copies_behind_a_gap_are_never_counted_again():
+    # The record before this one was lost, so its number is never passed, and
+    # the holder forgets the source while an entry still has the copy.
+    clock = ManualClock(wall=0.0)
+    backup, node = make(clock)
+    backup.add("lost/0", record(2))
+    book = open_book(0, 1)
+    counted = 0
+    for _ in range(20):
+        backup.send()
+        for usage in node.sent:
+            counted += count_records(book, usage.source, usage.records)
+        node.sent.clear()
+        clock.advance(WINDOW_S)
+        book = next_book(book, WINDOW_S, 1)
+    assert counted == 1
+    assert book["lost"] == 1
--- a/apps/sidecar/src/shallotstand/sidecar/outbox.py
+++ b/apps/sidecar/src/shallotstand/sidecar/outbox.py
@@ -11,10 +11,14 @@
 
     Parts of one stream keep their order: what waits for a stream is joined
     with what follows, and one message is sent after the other.
+
+    Attributes:
+      is_closed: Whether the connection was lost.
     """
 
     def __init__(self, link: Link):
         self._link = link
+        self.is_closed = False
         self._data_by_stream: dict[int, list[bytes]] = {}
         self._head_by_stream: dict[int, Frame] = {}
         self._ended: list[Frame] = []
--- a/apps/sidecar/src/shallotstand/sidecar/peers.py
+++ b/apps/sidecar/src/shallotstand/sidecar/peers.py
@@ -56,7 +56,6 @@
             connection did.
         """
         self._on_orphan = on_orphan
-        self._closed = False
         self._retained: set[asyncio.Task] = set()
         self._runner = runner
         self._activity = activity
@@ -84,7 +83,7 @@
 
     async def close(self) -> None:
         """Cancels whatever still runs, except what the sidecar retains."""
-        self._closed = True
+        self._outbox.is_closed = True
         running = set(self._tasks_by_stream.values()) - self._retained
         tasks = [self._sender, *running]
         for task in tasks:
@@ -95,7 +94,7 @@
         self._activity.begin()
         try:
             await self._runner.run(request, self._outbox)
-            if self._closed:
+            if self._outbox.is_closed:
                 self._on_orphan(request)
         except Exception as error:
             # Without an end the caller would wait for ever.
--- a/apps/sidecar/src/shallotstand/sidecar/runner.py
+++ b/apps/sidecar/src/shallotstand/sidecar/runner.py
@@ -6,7 +6,7 @@
 from shallotstand.core.failure import Failure
 from shallotstand.engine.meter import CollectedAnswer, StreamMeter, collect
 from shallotstand.engine.protocols import Answer, EngineRequest
-from shallotstand.link.messages import Frame, Request, Span
+from shallotstand.link.messages import Frame, Request, Span, UsageRecord
 from shallotstand.sidecar.attempts import SeenAttempts
 from shallotstand.sidecar.endpoint import LocalEndpoint
 from shallotstand.sidecar.outbox import Outbox
@@ -115,19 +115,20 @@
                 outbox.data(request.stream, chunk, flush_s)
             finished = True
         finally:
-            # A cancelled stream is billed for what was generated until then.
+            # A stream that its caller cancelled is billed for what was
+            # generated until then, one cut by a lost link is not.
             usage = meter.usage()
-            number = self._bill(endpoint, request, *usage)
+            record = None
+            if finished or not outbox.is_closed:
+                record = self._bill(endpoint, request, *usage)
             if finished:
-                outbox.end(
-                    Frame(
-                        request.stream,
-                        end=True,
-                        prompt_tokens=usage.prompt_tokens,
-                        completion_tokens=usage.completion_tokens,
-                        record=number,
-                    )
+                last = Frame(
+                    request.stream,
+                    end=True,
+                    prompt_tokens=usage.prompt_tokens,
+                    completion_tokens=usage.completion_tokens,
                 )
+                outbox.end(self._with_record(last, record))
 
     async def _collect(
         self,
@@ -152,10 +153,10 @@
         collected = collect(stream)
         if failure is None and not collected.finish_reason:
             failure = Failure(ResultCode.ANSWER_CUT, "The stream ended early.")
-        number = (
-            0 if failure else self._bill(endpoint, request, *collected.usage)
-        )
-        frame = _completion(request, collected, number, failure)
+        frame = _completion(request, collected, failure)
+        if failure is None:
+            record = self._bill(endpoint, request, *collected.usage)
+            frame = self._with_record(frame, record)
         if request.retain and failure is None:
             self.retained.add(request.request_id, frame)
         outbox.end(frame)
@@ -166,10 +167,10 @@
         request: Request,
         prompt_tokens: int,
         completion_tokens: int,
-    ) -> int:
+    ) -> UsageRecord | None:
         if not request.account:
-            return 0
-        record = self._usage_log.add(
+            return None
+        return self._usage_log.add(
             request.account,
             endpoint.service,
             self._clock.wall(),
@@ -177,7 +178,16 @@
             completion_tokens,
             request.request_id,
         )
-        return record.number
+
+    def _with_record(self, frame: Frame, record: UsageRecord | None) -> Frame:
+        """Lets the entry keep a copy of the record."""
+        if record is None:
+            return frame
+        return frame._replace(
+            record=record.number,
+            source=self._usage_log.source(record.account),
+            window=record.window,
+        )
 
 
 def _streaming_body(request: Request) -> bytes:
@@ -231,7 +241,6 @@
 def _completion(
     request: Request,
     collected: CollectedAnswer,
-    record: int,
     failure: Failure | None,
 ) -> Frame:
     """Returns the frame of a sample, which keeps the part that was generated.
@@ -249,5 +258,4 @@
         spans=tuple(Span(*span) for span in collected.spans),
         prompt_tokens=collected.usage.prompt_tokens,
         completion_tokens=collected.usage.completion_tokens,
-        record=record,
     )
--- a/apps/sidecar/src/shallotstand/sidecar/usage_log.py
+++ b/apps/sidecar/src/shallotstand/sidecar/usage_log.py
@@ -37,8 +37,7 @@
         request_id: str,
     ) -> UsageRecord:
         """Adds a record for a request that ended at the wall-clock time."""
-        shard = shard_of(account, self._shards)
-        source = source_name(self._incarnation, shard)
+        source = self.source(account)
         number = self._last_number_by_source.get(source, 0) + 1
         record = UsageRecord(
             number=number,
@@ -53,6 +52,11 @@
         self._by_source.setdefault(source, {})[number] = record
         return record
 
+    def source(self, account: str) -> str:
+        """Returns the source that an account's records belong to."""
+        shard = shard_of(account, self._shards)
+        return source_name(self._incarnation, shard)
+
     def pending_by_source(self) -> dict[str, tuple[UsageRecord, ...]]:
         """Returns the records that are not acknowledged, in order."""
         return {
--- a/libs/control/src/shallotstand/control/usage_copies.py
+++ b/libs/control/src/shallotstand/control/usage_copies.py
@@ -41,6 +41,22 @@
         if not copies:
             del self._by_source[source]
 
+    def forget_before(self, window: int) -> None:
+        """Drops the records of windows that started before a time.
+
+        The holder forgets a source after `FORGET_WINDOWS` windows and would
+        count its records again. A record that was counted is not always
+        acknowledged: one that is missing before it holds the number back.
+
+        Args:
+          window: Start of the oldest window to keep, seconds since 1970.
+        """
+        for source, copies in list(self._by_source.items()):
+            for number in [n for n, r in copies.items() if r.window < window]:
+                del copies[number]
+            if not copies:
+                del self._by_source[source]
+
     def orphans(
         self, live_incarnations: Collection[str]
     ) -> Mapping[str, tuple[UsageRecord, ...]]:
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -80,6 +80,8 @@
   promptTokens @8 :UInt32;
   completionTokens @9 :UInt32;
   record @10 :UInt64;
+  source @11 :Text;
+  window @12 :UInt64;
 }
 
 struct Chunk {
--- a/libs/link/src/shallotstand/link/messages.py
+++ b/libs/link/src/shallotstand/link/messages.py
@@ -151,6 +151,8 @@
       prompt_tokens: Tokens of the prompt, in the last frame.
       completion_tokens: Tokens generated, in the last frame.
       record: Number of the usage record, in the last frame; 0 if none.
+      source: Source of the usage record, which names its shard too.
+      window: Start of its usage window, seconds since 1970.
     """
 
     stream: int
@@ -164,6 +166,8 @@
     prompt_tokens: int = 0
     completion_tokens: int = 0
     record: int = 0
+    source: str = ""
+    window: int = 0
 
 
 class Chunk(NamedTuple):
