Let the entry route by membership

Cause: The entry knew only its own links, so an endpoint that the platform's list or the other entries gave up still got new work.

Change: MemberWatch feeds the membership with links, Load states, the new Suspicion message of other entries and, with the setting instances_url, the platform's list every 5 s. The router sees the result as the candidate's state.

The service's capacity still counts suspected endpoints.

--- a/apps/entry/src/shallotstand/entry/main.py
+++ b/apps/entry/src/shallotstand/entry/main.py
@@ -9,6 +9,7 @@
 import uvloop
 from absl import logging
 from shallotstand.control.adoption import ConfigKeeper
+from shallotstand.control.membership import Membership
 from shallotstand.control.usage_copies import UsageCopies
 from shallotstand.core import logs
 from shallotstand.core.clock import SystemClock
@@ -20,6 +21,7 @@
 from shallotstand.entry.crashes import CrashDesk
 from shallotstand.entry.gateway import Gateway
 from shallotstand.entry.http_front import make_app
+from shallotstand.entry.members import MemberWatch
 from shallotstand.entry.rollout_service import JobService, RolloutService
 from shallotstand.entry.settings import TABLE, EntrySettings
 from shallotstand.entry.shares import ShareExchange
@@ -32,10 +34,12 @@
     Peer,
     Release,
     Share,
+    Suspicion,
     UsageAck,
 )
 from shallotstand.link.node import Identity, Node, PeerConnection
 from shallotstand.objects.types import Catalog, RolloutJob
+from shallotstand.platform.http_instances import HttpInstanceList
 from shallotstand.platform.http_store import HttpObjectStore
 from shallotstand.platform.protocols import ObjectStore
 from shallotstand.rollout.lease import StoreJobLease
@@ -59,6 +63,14 @@
         self.shares = ShareExchange(self.admission)
         self.rollouts = RolloutService()
         self.usage = UsageBackup(UsageCopies(), settings.window_s, clock)
+        self.instances = (
+            HttpInstanceList(settings.instances_url)
+            if settings.instances_url
+            else None
+        )
+        self.members = MemberWatch(
+            Membership(len(settings.entries), clock), self.instances
+        )
         index = DecayingPrefixIndex(clock)
         self.fleet = Fleet(
             FleetListener(
@@ -68,6 +80,10 @@
                 index=index,
                 samples=self.rollouts.take_offer,
                 usage=self.usage.add,
+                linked=self.members.link,
+                unlinked=self.members.unlink,
+                report=self.members.take_report,
+                member_state=self.members.state,
             )
         )
         policies = Policies(
@@ -100,7 +116,7 @@
             identity, self._serve_peer, clock, self.crashes.describe
         )
         self.crashes.node = self.shares.node = self.node
-        self.usage.node = self.node
+        self.usage.node = self.members.node = self.node
         keeper = ConfigKeeper(str(address), map(str, settings.entries), clock)
         serve_by(keeper, self.gateway)
         self.config_sync = ConfigSync(keeper, store, self.node)
@@ -136,7 +152,12 @@
         await http_server.startup()
         tasks = [
             asyncio.create_task(run())
-            for run in (self.shares.run, self.usage.run)
+            for run in (
+                self.shares.run,
+                self.usage.run,
+                self.members.run,
+                self.members.follow_list,
+            )
         ]
         logs.event(logging.INFO, "Started", listen=str(self.settings.listen))
         await stopping.wait()
@@ -148,6 +169,8 @@
         await http_server.close()
         await self.config_sync.close()
         await self.node.close()
+        if self.instances is not None:
+            await self.instances.close()
         logs.event(logging.INFO, "Stopped")
 
     def _adopt_jobs(self, catalog: Catalog) -> None:
@@ -175,11 +198,13 @@
         if peer.hello.role == "entry":
             self.crashes.learn(peer.hello)
             self.shares.greet(peer)
+            self.members.greet(peer)
         try:
             await self.config_sync.serve(peer, self._take_message)
         finally:
             if peer.hello.role == "entry":
                 self.shares.forget(peer)
+                self.members.forget(peer)
 
     def _take_message(self, peer: PeerConnection, message: Message) -> None:
         match message:
@@ -189,6 +214,8 @@
                 self.crashes.take_crash(message)
             case Release():
                 self.crashes.take_release(message)
+            case Suspicion():
+                self.members.take_suspicion(peer, message)
             case UsageAck():
                 self.usage.take_ack(message)
 
--- /dev/null
+++ b/apps/entry/src/shallotstand/entry/members.py
@@ -0,0 +1,107 @@
+"""Feeds the membership from links, other entries and the platform's list."""
+
+import asyncio
+
+from absl import logging
+from shallotstand.control.membership import LinkState, Membership
+from shallotstand.core import logs
+from shallotstand.core.failure import Failure
+from shallotstand.link.messages import EndpointLoad, Hello, Suspicion
+from shallotstand.link.node import Node, PeerConnection
+from shallotstand.platform.protocols import InstanceList
+
+# Silence is the absence of messages, so it is looked for this often.
+LOOK_INTERVAL_S = 1.0
+# The list itself lags by more than this.
+LIST_INTERVAL_S = 5.0
+
+
+class MemberWatch:
+    """Tells the membership what happens and answers for the router.
+
+    Attributes:
+      node: Connections to the peers; set right after construction.
+    """
+
+    node: Node
+
+    def __init__(self, membership: Membership, instances: InstanceList | None):
+        """Initializes without any endpoint.
+
+        Args:
+          membership: Decides about the endpoints.
+          instances: The platform's list; None if there is none.
+        """
+        self._membership = membership
+        self._instances = instances
+        self._told: frozenset[str] = frozenset()
+
+    def state(self, endpoint: str) -> str:
+        """Returns the state of an endpoint; only `live` ones get work."""
+        return self._membership.state(endpoint).value
+
+    def link(self, hello: Hello) -> None:
+        """Notes that a sidecar has connected."""
+        self._set_links(hello, LinkState.UP)
+
+    def unlink(self, hello: Hello) -> None:
+        """Notes that a sidecar has no connection any more."""
+        self._set_links(hello, LinkState.GONE)
+
+    def take_report(self, report: EndpointLoad) -> None:
+        """Takes an endpoint's word on whether it is leaving."""
+        is_leaving = report.state == "leaving"
+        self._membership.set_leaving(report.name, is_leaving)
+
+    def greet(self, peer: PeerConnection) -> None:
+        """Tells a new entry what this one suspects."""
+        peer.send(_suspicion(self._membership.suspects()))
+
+    def take_suspicion(self, peer: PeerConnection, told: Suspicion) -> None:
+        """Takes what another entry suspects."""
+        self._membership.set_reports(peer.hello.process_id, told.endpoints)
+
+    def forget(self, peer: PeerConnection) -> None:
+        """Drops the word of a lost entry, unless it has connected again."""
+        process_id = peer.hello.process_id
+        if self.node.peers_by_id.get(process_id) in (None, peer):
+            self._membership.set_reports(process_id, ())
+
+    async def run(self) -> None:
+        """Looks for silent sidecars and tells the entries, until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_INTERVAL_S)
+            self.look()
+
+    def look(self) -> None:
+        """Notes which sidecars are silent and tells what has changed."""
+        for peer in self.node.peers("sidecar"):
+            link = LinkState.SILENT if peer.is_silent else LinkState.UP
+            self._set_links(peer.hello, link)
+        suspects = self._membership.suspects()
+        if suspects != self._told:
+            self.node.broadcast(_suspicion(suspects), "entry")
+        self._told = suspects
+
+    async def follow_list(self) -> None:
+        """Takes the platform's list every 5 s, until cancelled."""
+        while self._instances is not None:
+            listed = await self._instances.instances()
+            if isinstance(listed, Failure):
+                logs.event(
+                    logging.WARNING,
+                    "No list of instances",
+                    code=int(listed.code),
+                    reason=listed.reason,
+                )
+            else:
+                self._membership.take_list(listed)
+            await asyncio.sleep(LIST_INTERVAL_S)
+
+    def _set_links(self, hello: Hello, link: LinkState) -> None:
+        for info in hello.endpoints:
+            self._membership.set_link(info.name, info.zone, link)
+
+
+def _suspicion(endpoints: frozenset[str]) -> Suspicion:
+    return Suspicion(tuple(sorted(endpoints)))
--- a/apps/entry/src/shallotstand/entry/settings.py
+++ b/apps/entry/src/shallotstand/entry/settings.py
@@ -52,6 +52,11 @@
         "window_s": Integer(
             "Length of a usage window.", 300, minimum=1, unit="seconds"
         ),
+        "instances_url": Text(
+            "Address of the platform's list of instances; empty for none.",
+            "",
+            pattern=r"(https?://.+)?",
+        ),
         "interactive_first": Flag(
             "Whether interactive requests go before rollouts.", True
         ),
@@ -74,6 +79,7 @@
     shutdown_deadline_s: float
     interactive_first: bool
     window_s: int = 300
+    instances_url: str = ""
 
     @classmethod
     def from_config(cls, config: Mapping[str, Any]) -> "EntrySettings":
--- a/apps/entry/src/shallotstand/entry/sidecars.py
+++ b/apps/entry/src/shallotstand/entry/sidecars.py
@@ -17,6 +17,7 @@
     EndpointLoad,
     Frame,
     Frames,
+    Hello,
     Load,
     Request,
     SampleAsk,
@@ -64,7 +65,7 @@
         return Candidate(
             name=self.info.name,
             zone=self.info.zone,
-            state="suspected" if self.sidecar.is_silent else self.report.state,
+            state=self._state(),
             version=self.report.version,
             reported=self.report.running + self.report.queued,
             in_flight=self.in_flight,
@@ -72,11 +73,26 @@
             slots=self.report.slots,
         )
 
+    def _state(self) -> str:
+        if self.sidecar.is_silent:
+            return "suspected"
+        member = self.sidecar.member_state(self.info.name)
+        return self.report.state if member == "live" else member
+
 
 class SidecarConnection:
-    """One connection from a sidecar and the streams on it."""
+    """One connection from a sidecar and the streams on it.
+
+    Attributes:
+      member_state: Returns the state of an endpoint among the members.
+    """
 
-    def __init__(self, peer: PeerConnection):
+    def __init__(
+        self,
+        peer: PeerConnection,
+        member_state: Callable[[str], str] = lambda _: "live",
+    ):
+        self.member_state = member_state
         self.hello = peer.hello
         self.endpoints_by_name = {
             info.name: RemoteEndpoint(info, self)
@@ -241,6 +257,10 @@
       index: Learns what the endpoints' prefix caches hold.
       samples: Called as samples(message) with a SampleOffer message.
       usage: Called as usage(source, record) at the end of a billed answer.
+      linked: Called as linked(hello) when a sidecar has connected.
+      unlinked: Called as unlinked(hello) when it has no connection any more.
+      report: Called as report(message) with each endpoint's load.
+      member_state: Returns the state of an endpoint among the members.
     """
 
     capacity: Callable[[str, int], None]
@@ -249,6 +269,10 @@
     index: PrefixIndex | None = None
     samples: Callable[[SampleOffer], None] = lambda _: None
     usage: Callable[[str, UsageRecord], None] = lambda *_: None
+    linked: Callable[[Hello], None] = lambda _: None
+    unlinked: Callable[[Hello], None] = lambda _: None
+    report: Callable[[EndpointLoad], None] = lambda _: None
+    member_state: Callable[[str], str] = lambda _: "live"
 
 
 class Fleet:
@@ -261,8 +285,9 @@
 
     async def serve(self, peer: PeerConnection) -> None:
         """Keeps a sidecar's connection until it ends."""
-        connection = SidecarConnection(peer)
+        connection = SidecarConnection(peer, self._listener.member_state)
         hello = peer.hello
+        self._listener.linked(hello)
         self._connections_by_id[hello.process_id] = connection
         for job in self._asked_jobs:
             connection.send(SampleAsk(job))
@@ -274,6 +299,7 @@
         finally:
             if self._connections_by_id.get(hello.process_id) is connection:
                 del self._connections_by_id[hello.process_id]
+                self._listener.unlinked(hello)
             connection.end_all()
             for service in {e.service for e in hello.endpoints}:
                 self.on_capacity(service)
@@ -316,7 +342,8 @@
         self._listener.capacity(service, slots)
 
     def on_report(self, report: EndpointLoad) -> None:
-        """Passes an endpoint's cache events on."""
+        """Passes an endpoint's state and cache events on."""
+        self._listener.report(report)
         if self._listener.index is not None:
             self._listener.index.take_events(
                 report.name, report.added, report.evicted
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -218,6 +218,10 @@
   step @1 :UInt32;
 }
 
+struct Suspicion {
+  endpoints @0 :List(Text);
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -241,5 +245,6 @@
     sampleAsk @18 :SampleAsk;
     sampleOffer @19 :SampleOffer;
     sampleRelease @20 :SampleRelease;
+    suspicion @21 :Suspicion;
   }
 }
--- a/libs/link/src/shallotstand/link/messages.py
+++ b/libs/link/src/shallotstand/link/messages.py
@@ -418,6 +418,12 @@
     step: int
 
 
+class Suspicion(NamedTuple):
+    """All endpoints whose links to the sending entry are silent or gone."""
+
+    endpoints: tuple[str, ...]
+
+
 Message: TypeAlias = (
     Hello
     | Ping
@@ -440,4 +446,5 @@
     | SampleAsk
     | SampleOffer
     | SampleRelease
+    | Suspicion
 )
