--- a/apps/controller/src/shallotstand/controller/controller.py
+++ b/apps/controller/src/shallotstand/controller/controller.py
@@ -70,6 +70,7 @@
             settings.usage_shards,
             settings.window_s,
             lambda: self.catalog.accounts_by_name,
+            settings.grace_s,
         )
         self._duties_by_kind: dict[str, Duty] = {"usage": self._usage}
         self._roster = DutyRoster(self.keeper, self._duties_by_kind)
--- a/apps/controller/src/shallotstand/controller/settings.py
+++ b/apps/controller/src/shallotstand/controller/settings.py
@@ -46,6 +46,12 @@
         "window_s": Integer(
             "Length of a usage window.", 300, minimum=1, unit="seconds"
         ),
+        "grace_s": Integer(
+            "Time after a window in which its records still count; shorter "
+            "than a window.",
+            30,
+            unit="seconds",
+        ),
     }
 )
 
@@ -63,6 +69,7 @@
     zones: tuple[str, ...]
     usage_shards: int
     window_s: int
+    grace_s: int | None = None
 
     @classmethod
     def from_config(cls, config: Mapping[str, Any]) -> "ControllerSettings":
--- a/apps/controller/src/shallotstand/controller/usage_duty.py
+++ b/apps/controller/src/shallotstand/controller/usage_duty.py
@@ -61,6 +61,7 @@
         shards: int,
         window_s: int,
         accounts: Callable[[], Iterable[str]],
+        grace_s: int | None = None,
     ):
         """Initializes without any shard.
 
@@ -72,6 +73,8 @@
           shards: Number of usage shards.
           window_s: Length of a usage window in seconds.
           accounts: Returns the names of all client accounts.
+          grace_s: Seconds after a window in which its records still count;
+            None for the usual time.
         """
         self._store = store
         self._reporter = reporter
@@ -80,6 +83,7 @@
         self._shards = shards
         self._window_s = window_s
         self._accounts = accounts
+        self._grace_s = grace_s
         self._collectors_by_shard: dict[int, ShardCollector] = {}
         # Sources that wait for an acknowledgement, by shard.
         self._askers_by_shard: dict[int, dict[str, PeerConnection]] = {}
@@ -98,7 +102,12 @@
         """Stores checkpoints of one shard and sends reports until cancelled."""
         shard = int(held.name.partition("/")[2])
         collector = ShardCollector(
-            shard, held.epoch, self._store, self._clock, self._window_s
+            shard,
+            held.epoch,
+            self._store,
+            self._clock,
+            self._window_s,
+            grace_s=self._grace_s,
         )
         self._collectors_by_shard[shard] = collector
         try:
--- a/apps/standins/src/shallotstand/standins/demo_fleet.py
+++ b/apps/standins/src/shallotstand/standins/demo_fleet.py
@@ -12,6 +12,7 @@
 _SIDECAR_MODULE = "shallotstand.sidecar.main"
 _STANDINS_MODULE = "shallotstand.standins.main"
 _ENTRY_MODULE = "shallotstand.entry.main"
+_CONTROLLER_MODULE = "shallotstand.controller.main"
 
 
 class EndpointPlan(NamedTuple):
@@ -40,6 +41,13 @@
     peer_listen: Host
 
 
+class ControllerPlan(NamedTuple):
+    """Address of a controller."""
+
+    name: str
+    peer_address: Host
+
+
 class FleetPlan(NamedTuple):
     """Who runs where.
 
@@ -49,6 +57,9 @@
       entries: Entries.
       engine_fields: Further TOML lines of every engine.
       entry_fields: Further TOML lines of every entry.
+      controllers: Controllers; the demo does without.
+      sidecar_fields: Further TOML lines of every sidecar.
+      controller_fields: Further TOML lines of every controller.
     """
 
     store: Host
@@ -56,6 +67,9 @@
     entries: tuple[EntryPlan, ...]
     engine_fields: str = ""
     entry_fields: str = ""
+    controllers: tuple[ControllerPlan, ...] = ()
+    sidecar_fields: str = ""
+    controller_fields: str = ""
 
     @classmethod
     def demo(cls) -> "FleetPlan":
@@ -102,6 +116,7 @@
         self.plan = plan
         self.programs_by_name: dict[str, Program] = {}
         self._directory = directory
+        self._settings_by_name: dict[str, tuple[str, str]] = {}
 
     async def start(self) -> None:
         """Starts every program; the order is of no importance to them."""
@@ -117,6 +132,12 @@
                 self._start(entry.name, _ENTRY_MODULE, self._entry(entry))
                 for entry in self.plan.entries
             ),
+            *(
+                self._start(
+                    held.name, _CONTROLLER_MODULE, self._controller(held)
+                )
+                for held in self.plan.controllers
+            ),
         ]
         results = await asyncio.gather(*starts, return_exceptions=True)
         for result in results:
@@ -134,7 +155,14 @@
         """Starts the endpoints' program again after its end."""
         await self._start("endpoints", _STANDINS_MODULE, self._endpoints())
 
+    async def restart(self, name: str, timeout_s: float) -> int:
+        """Ends a program by SIGTERM, starts it again; returns its status."""
+        status = await self.programs_by_name[name].stop(timeout_s)
+        await self._start(name, *self._settings_by_name[name])
+        return status
+
     async def _start(self, name: str, module: str, settings: str) -> None:
+        self._settings_by_name[name] = module, settings
         self.programs_by_name[name] = await Program.start(
             name, module, settings, self._directory
         )
@@ -158,6 +186,7 @@
             f'process_id = "{name}"',
             'zone = "peak-a"',
             f"peers = {peers}",
+            self.plan.sidecar_fields,
         ]
         tables = [
             _table(
@@ -187,6 +216,19 @@
         ]
         return "\n".join(lines)
 
+    def _controller(self, controller: ControllerPlan) -> str:
+        peers = [str(entry.peer_listen) for entry in self.plan.entries]
+        lines = [
+            f'process_id = "{controller.name}"',
+            'zone = "peak-a"',
+            f'peer_address = "{controller.peer_address}"',
+            f"peers = {peers}",
+            f'store_url = "http://{self.plan.store}"',
+            f'usage_url = "http://{self.plan.store}"',
+            self.plan.controller_fields,
+        ]
+        return "\n".join(lines)
+
 
 def _table(name: str, lines: Iterable[str]) -> str:
     return "\n".join((f"[[{name}]]", *lines, ""))
--- a/apps/standins/src/shallotstand/standins/processes.py
+++ b/apps/standins/src/shallotstand/standins/processes.py
@@ -67,8 +67,8 @@
         await program._wait_started()
         return program
 
-    async def stop(self) -> int:
-        """Asks the process to end, kills it if it doesn't.
+    async def stop(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Asks the process to end, kills it if it doesn't in time.
 
         Returns:
           The exit status; negative for the signal that ended it.
@@ -76,7 +76,7 @@
         with contextlib.suppress(ProcessLookupError):
             self.process.terminate()
         try:
-            async with asyncio.timeout(STOP_TIMEOUT_S):
+            async with asyncio.timeout(timeout_s):
                 await self.process.wait()
         except TimeoutError:
             self.process.kill()
--- a/libs/control/src/shallotstand/control/usage_shards.py
+++ b/libs/control/src/shallotstand/control/usage_shards.py
@@ -59,7 +59,9 @@
         clock: Clock,
         window_s: int,
         backoff: Backoff = DEFAULT_BACKOFF,
+        grace_s: int | None = None,
     ):
+        self._grace_s = GRACE_S if grace_s is None else grace_s
         self._backoff = backoff
         self.shard = shard
         self._epoch = epoch
@@ -230,7 +232,7 @@
         return now - now % self._window_s
 
     def _is_window_over(self) -> bool:
-        end = self._book["window"] + self._window_s + GRACE_S
+        end = self._book["window"] + self._window_s + self._grace_s
         return self._clock.wall() >= end
 
 
