--- a/apps/entry/src/shallotstand/entry/sidecars.py
+++ b/apps/entry/src/shallotstand/entry/sidecars.py
@@ -18,6 +18,7 @@
     EndpointLoad,
     Frame,
     Frames,
+    Hello,
     Load,
     LoadSample,
     LoadSamples,
@@ -26,6 +27,7 @@
     SampleOffer,
     SampleRelease,
     Submit,
+    UsageRecord,
 )
 from shallotstand.link.node import PeerConnection
 from shallotstand.serving.prefix_index import PrefixIndex
@@ -79,7 +81,7 @@
         return Candidate(
             name=self.info.name,
             zone=self.info.zone,
-            state="suspected" if self.sidecar.is_silent else self.report.state,
+            state=self._state(),
             version=self.report.version,
             reported=self.report.running + self.report.queued,
             in_flight=self.in_flight,
@@ -87,11 +89,26 @@
             slots=self.report.slots,
         )
 
+    def _state(self) -> str:
+        if self.sidecar.is_silent:
+            return "suspected"
+        member = self.sidecar.member_state(self.info.name)
+        return self.report.state if member == "live" else member
+
 
 class SidecarConnection:
-    """One connection from a sidecar and the streams on it."""
+    """One connection from a sidecar and the streams on it.
+
+    Attributes:
+      member_state: Returns the state of an endpoint among the members.
+    """
 
-    def __init__(self, peer: PeerConnection):
+    def __init__(
+        self,
+        peer: PeerConnection,
+        member_state: Callable[[str], str] = lambda _: "live",
+    ):
+        self.member_state = member_state
         self.hello = peer.hello
         self.endpoints_by_name = {
             info.name: RemoteEndpoint(info, self)
@@ -176,7 +193,7 @@
                             stream.put(chunk)
                 case Frames(frames):
                     for frame in frames:
-                        self._take_frame(frame)
+                        self._take_frame(frame, fleet)
                 case Load(endpoints):
                     for report in endpoints:
                         self._take_report(report, fleet)
@@ -212,19 +229,36 @@
                 number, ResultCode.LINK_LOST, "The sidecar's link was lost."
             )
 
-    def _take_frame(self, frame: Frame) -> None:
+    def _take_frame(self, frame: Frame, fleet: "Fleet") -> None:
         stream = self._streams_by_number.get(frame.stream)
         if stream is None:
             return  # the caller has gone; the sidecar had not heard of it yet
         if frame.end:
+            if frame.record:
+                record = self._usage_record(frame)
+                fleet.on_usage(frame.source, record)
             self._forget(frame.stream)
         stream.put(frame)
 
+    def _usage_record(self, frame: Frame) -> UsageRecord:
+        """Returns the record that the sidecar made for an answer."""
+        request = self._requests_by_number[frame.stream]
+        return UsageRecord(
+            number=frame.record,
+            account=request.account,
+            service=self.endpoints_by_name[request.endpoint].info.service,
+            window=frame.window,
+            prompt_tokens=frame.prompt_tokens,
+            completion_tokens=frame.completion_tokens,
+            request_id=request.request_id,
+        )
+
     def _take_report(self, report: EndpointLoad, fleet: "Fleet") -> None:
         endpoint = self.endpoints_by_name.get(report.name)
         if endpoint is not None:
             before = endpoint.live_slots
             endpoint.take_report(report)
+            fleet.on_report(report)
             fleet.on_slots(endpoint.info.service, endpoint.live_slots - before)
 
     def _take_samples(self, message: LoadSamples, fleet: "Fleet") -> None:
@@ -256,6 +290,11 @@
       lost: Called as lost(message) for each endpoint of a lost sidecar.
       index: Learns what the endpoints' prefix caches hold.
       samples: Called as samples(message) with a SampleOffer message.
+      usage: Called as usage(source, record) at the end of a billed answer.
+      linked: Called as linked(hello) when a sidecar has connected.
+      unlinked: Called as unlinked(hello) when it has no connection any more.
+      report: Called as report(message) with each endpoint's load.
+      member_state: Returns the state of an endpoint among the members.
     """
 
     capacity: Callable[[str, int], None]
@@ -263,6 +302,11 @@
     lost: Callable[[Crash], None] = lambda _: None
     index: PrefixIndex | None = None
     samples: Callable[[SampleOffer], None] = lambda _: None
+    usage: Callable[[str, UsageRecord], None] = lambda *_: None
+    linked: Callable[[Hello], None] = lambda _: None
+    unlinked: Callable[[Hello], None] = lambda _: None
+    report: Callable[[EndpointLoad], None] = lambda _: None
+    member_state: Callable[[str], str] = lambda _: "live"
 
 
 class Fleet:
@@ -279,8 +323,9 @@
 
     async def serve(self, peer: PeerConnection) -> None:
         """Keeps a sidecar's connection until it ends."""
-        connection = SidecarConnection(peer)
+        connection = SidecarConnection(peer, self._listener.member_state)
         hello = peer.hello
+        self._listener.linked(hello)
         self._connections_by_id[hello.process_id] = connection
         for name, endpoint in connection.endpoints_by_name.items():
             by_name = self._endpoints_by_service.setdefault(
@@ -297,6 +342,7 @@
         finally:
             if self._connections_by_id.get(hello.process_id) is connection:
                 del self._connections_by_id[hello.process_id]
+                self._listener.unlinked(hello)
             connection.end_all()
             self._remove(connection)
 
@@ -328,6 +374,14 @@
         """Passes retained samples to the listener."""
         self._listener.samples(offer)
 
+    def on_usage(self, source: str, record: UsageRecord) -> None:
+        """Passes the record of an answer to the listener."""
+        self._listener.usage(source, record)
+
+    def on_report(self, report: EndpointLoad) -> None:
+        """Passes an endpoint's state on."""
+        self._listener.report(report)
+
     def on_slots(self, service: str, change: int) -> None:
         """Tells the listener how many requests a service runs at once."""
         if change:
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -80,6 +80,8 @@
   promptTokens @8 :UInt32;
   completionTokens @9 :UInt32;
   record @10 :UInt64;
+  source @11 :Text;
+  window @12 :UInt64;
 }
 
 struct Chunk {
@@ -231,6 +233,10 @@
   step @1 :UInt32;
 }
 
+struct Suspicion {
+  endpoints @0 :List(Text);
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -255,5 +261,6 @@
     sampleOffer @19 :SampleOffer;
     sampleRelease @20 :SampleRelease;
     loadSamples @21 :LoadSamples;
+    suspicion @22 :Suspicion;
   }
 }
