Add the administration API, metrics and objectives of services

Cause: objects could be published only by code, a controller did not follow withdrawals, and nobody could see who serves by which revision. Change: ConfigSync moves to libs/configsync, which entry and controller use. The controller serves check, diff, publish, status, keys, drain, quarantine, usage and burn by thin sanic handlers over plain functions; operators' keys are compared by hash in constant time. ConfigHeld names the digest, Hello the version; sidecars tell controllers of state and version changes and of crashes; the order `drain` ends in the sidecar. Services may have an objective, which the entry counts by minute. Conclusion: operators need no access to the store.

--- /dev/null
+++ b/apps/controller/src/shallotstand/controller/admin_reports.py
@@ -0,0 +1,72 @@
+"""Usage and burn reports for operators; knows nothing of HTTP."""
+
+import orjson
+from shallotstand.control.usage_reports import report_key
+from shallotstand.controller.admin_sets import OPERATOR_BACKOFF
+from shallotstand.core.failure import Failure
+from shallotstand.objects.types import Catalog
+from shallotstand.observe.burn import (
+    HOUR_S,
+    PERIOD_S,
+    MinuteIndex,
+    Objective,
+    Subject,
+    burn_of,
+)
+from shallotstand.observe.burn_text import BurnJson, render_json
+from shallotstand.observe.slo_recorder import PREFIX, read_minutes
+from shallotstand.platform.conditional import read_object
+from shallotstand.platform.protocols import ObjectStore, StoredObject
+
+
+async def read_usage(
+    store: ObjectStore, account: str, window: int
+) -> dict | Failure:
+    """Reads the frozen report of a client account and window.
+
+    Errors:
+      OBJECT_NOT_FOUND: There is no report (yet).
+      STORE_UNAVAILABLE: No answer.
+    """
+    stored = await read_object(
+        store, report_key(account, window), OPERATOR_BACKOFF
+    )
+    if isinstance(stored, Failure):
+        return stored
+    return orjson.loads(stored.value)
+
+
+async def read_burn(
+    store: ObjectStore, catalog: Catalog, now: int
+) -> list[BurnJson] | Failure:
+    """Computes the burn of every service that has an objective.
+
+    Args:
+      store: The platform's object API.
+      catalog: Configuration in force.
+      now: Seconds since 1970.
+
+    Errors:
+      STORE_UNAVAILABLE: No answer.
+    """
+    listed = await store.list(PREFIX)
+    if isinstance(listed, Failure):
+        return listed
+    recent = [held for held in listed if _hour(held) >= now - PERIOD_S - HOUR_S]
+    index = MinuteIndex(*read_minutes(recent))
+    return render_json(
+        [burn_of(objective, index, now) for objective in objectives(catalog)]
+    )
+
+
+def objectives(catalog: Catalog) -> list[Objective]:
+    """Returns the objectives of a configuration, by service."""
+    return [
+        Objective(Subject(name), service.objective_good_share)
+        for name, service in sorted(catalog.services_by_name.items())
+        if service.objective_good_share > 0
+    ]
+
+
+def _hour(stored: StoredObject) -> int:
+    return int(stored.key.removeprefix(PREFIX).partition("/")[0])
--- a/apps/controller/src/shallotstand/controller/controller.py
+++ b/apps/controller/src/shallotstand/controller/controller.py
@@ -3,23 +3,33 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable
 
-from absl import logging
-from shallotstand.control.config_store import HEAD_KEY, Head, read_catalog
+from shallotstand.configsync.sync import ConfigSync, peer_name
+from shallotstand.control.adoption import ConfigKeeper
 from shallotstand.control.orders import OrderDesk
+from shallotstand.control.publication import Confirmations
 from shallotstand.control.scopes import PREFIX as SCOPE_PREFIX
 from shallotstand.control.scopes import ScopeKeeper
 from shallotstand.control.sessions import PREFIX as SESSION_PREFIX
 from shallotstand.control.sessions import OwnSession, SessionId, SessionTable
 from shallotstand.control.usage_reports import Reporter
 from shallotstand.control.watchdog import Watchdog
+from shallotstand.controller.census import Census
 from shallotstand.controller.duties import Duty, DutyRoster
 from shallotstand.controller.receivers import OrderResults
 from shallotstand.controller.settings import ControllerSettings
 from shallotstand.controller.usage_duty import UsageDuty
-from shallotstand.core import logs
 from shallotstand.core.clock import Clock
 from shallotstand.core.failure import Failure
-from shallotstand.link.messages import OrderResult, Peer, Usage
+from shallotstand.link.messages import (
+    ConfigHeld,
+    Crash,
+    Load,
+    Message,
+    OrderResult,
+    Peer,
+    Release,
+    Usage,
+)
 from shallotstand.link.node import Identity, Node, PeerConnection
 from shallotstand.objects.types import Catalog
 from shallotstand.platform.protocols import (
@@ -27,6 +37,7 @@
     StoredObject,
     UsageSink,
 )
+from shallotstand.serving.quarantine import CrashReport, Quarantine
 
 # Scopes are looked at this often, as delays end without any message.
 SETTLE_INTERVAL_S = 1.0
@@ -37,11 +48,16 @@
 
     Attributes:
       catalog: Configuration in force.
+      census: What the connected processes said of themselves.
+      config: Decides which configuration is in force.
+      confirmations: Which entries serve by which revision.
       desk: Gives orders for the scopes held.
       keeper: Scopes held.
       node: Connections to sidecars, entries and controllers.
+      quarantine: Quarantined requests, as the entries know them.
       results: Results of orders to sidecars.
       session: Session of this process.
+      sync: Keeps the configuration in step with store and peers.
     """
 
     def __init__(
@@ -75,6 +91,18 @@
         self._roster = DutyRoster(self.keeper, self._duties_by_kind)
         self.node = Node(_identity(settings, incarnation), self._serve, clock)
         self._usage.node = self.node
+        self.census = Census(clock)
+        self.quarantine = Quarantine(clock)
+        listed = frozenset(map(str, settings.entries))
+        self.confirmations = Confirmations(listed)
+        self.config = ConfigKeeper(settings.process_id, listed, clock)
+        self.sync = ConfigSync(self.config, store, self.node)
+        self.config.subscribe(self._adopt)
+
+    def _adopt(self, catalog: Catalog) -> None:
+        # Revision 0 is the empty set that every process starts with.
+        if catalog.revision > 0:
+            self.catalog = catalog
 
     def add_duty(self, kind: str, duty: Duty) -> None:
         """Names who works for the scopes `<kind>/...`."""
@@ -91,8 +119,9 @@
     async def run(self, stopping: asyncio.Event) -> None:
         """Works until stopped or until a later run of the process starts."""
         await self.node.listen()
-        for address in self._settings.peers:
+        for address in (*self._settings.peers, *self._settings.entries):
             self.node.dial(address.host, address.port)
+        self.sync.start()
         renewing = asyncio.create_task(self.session.keep(self.desk.on_renewed))
         tasks = [
             renewing,
@@ -106,7 +135,6 @@
                 _watch(self._store.watch(SCOPE_PREFIX), self.keeper.observe)
             ),
             asyncio.create_task(self._settle()),
-            asyncio.create_task(self._follow_config()),
         ]
         # Any of these that ends, ends the process: none can be done without.
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -115,23 +143,6 @@
         await asyncio.gather(*tasks, return_exceptions=True)
         await self._leave()
 
-    async def _follow_config(self) -> None:
-        """Adopts each published configuration; an older one never."""
-        async for stored in self._store.watch(HEAD_KEY):
-            if isinstance(stored, Failure) or stored.version == 0:
-                continue
-            head = Head.decode(stored)
-            if isinstance(head, Failure):
-                adopted = head
-            else:
-                adopted = await read_catalog(self._store, head, self.catalog)
-            if isinstance(adopted, Failure):
-                logs.event(
-                    logging.WARNING, "Not adopted", reason=adopted.reason
-                )
-            else:
-                self.catalog = adopted
-
     async def _settle(self) -> None:
         while True:
             await self.keeper.settle(self.wanted_scopes())
@@ -144,16 +155,44 @@
         for name in list(self.keeper.held_by_name):
             await self.keeper.release(name)
         await self.session.end()
+        await self.sync.close()
         await self.node.close()
 
     async def _serve(self, peer: PeerConnection) -> None:
-        async for message in peer.messages():
-            match message:
-                case Usage():
-                    self._usage.take(message, peer)
-                case OrderResult():
-                    self.results.take(message)
-            self.node.revision = max(self.node.revision, peer.revision)
+        self.sync.observe(peer)
+        if peer.hello.role != "sidecar":
+            self.sync.greet(peer)
+        self.quarantine.learn(
+            peer.hello.suspects,
+            {q.fingerprint: q.left_ms / 1000 for q in peer.hello.quarantined},
+        )
+        try:
+            async for message in peer.messages():
+                await self._take(peer, message)
+        finally:
+            self.sync.forget(peer)
+            self.census.forget(peer)
+
+    async def _take(self, peer: PeerConnection, message: Message) -> None:
+        match message:
+            case Usage():
+                self._usage.take(message, peer)
+            case OrderResult():
+                self.results.take(message)
+            case Crash():
+                self.quarantine.take_crash(CrashReport(*message))
+            case Release(fingerprints):
+                for fingerprint in fingerprints:
+                    self.quarantine.release(fingerprint)
+            case Load(endpoints):
+                self.census.take_load(peer, endpoints)
+            case ConfigHeld(revision, digest):
+                self.census.take_held(peer, revision, digest)
+                self.sync.take(peer, message)
+                name = peer_name(peer.hello)
+                await self.confirmations.note(name, revision)
+            case _:
+                self.sync.take(peer, message)
 
 
 def _identity(settings: ControllerSettings, incarnation: str) -> Identity:
--- a/apps/controller/src/shallotstand/controller/main.py
+++ b/apps/controller/src/shallotstand/controller/main.py
@@ -1,21 +1,30 @@
 """The controller: leases, orders and usage reports."""
 
 import asyncio
+import collections
+import contextlib
 import signal
+from collections.abc import AsyncIterator
 from typing import Annotated
 
 import cappa
 import uvloop
 from absl import logging
+from sanic import Sanic
+from shallotstand.configsync.gauges import ConfigGauges, add_peer_gauge
 from shallotstand.control.watchdog import AlarmWatchdog
+from shallotstand.controller.admin_http import make_admin_app
 from shallotstand.controller.controller import Controller
 from shallotstand.controller.settings import TABLE, ControllerSettings
 from shallotstand.core import logs
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.ids import new_id
+from shallotstand.observe.exposition import serve_metrics
+from shallotstand.observe.metrics import Metrics
 from shallotstand.platform.http_store import HttpObjectStore
 from shallotstand.platform.http_usage import HttpUsageSink
 from shallotstand.settings.loader import load_or_exit
+from shallotstand.settings.options import Host
 
 
 async def run(settings: ControllerSettings) -> None:
@@ -29,13 +38,54 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
-    logs.event(logging.INFO, "Started", zones=list(settings.zones))
-    await controller.run(stopping)
+    async with contextlib.AsyncExitStack() as stack:
+        if settings.admin_listen is not None:
+            app = make_admin_app(controller, store, settings.admin_key_hashes)
+            await stack.enter_async_context(serving(app, settings.admin_listen))
+        if settings.metrics_listen is not None:
+            exposing = await serve_metrics(
+                make_metrics(controller), *settings.metrics_listen
+            )
+            stack.push_async_callback(exposing.cleanup)
+        logs.event(logging.INFO, "Started", zones=list(settings.zones))
+        await controller.run(stopping)
     await store.close()
     await sink.close()
     logs.event(logging.INFO, "Stopped")
 
 
+def make_metrics(controller: Controller) -> Metrics:
+    """Returns the metrics of a controller."""
+    metrics = Metrics()
+    ConfigGauges(controller.config, SystemClock()).add_to(metrics)
+    add_peer_gauge(metrics, controller.node)
+    metrics.gauge(
+        "scopes_held",
+        "Scopes that this controller holds.",
+        "kind",
+        lambda: collections.Counter(
+            name.partition("/")[0] for name in controller.keeper.held_by_name
+        ).items(),
+    )
+    return metrics
+
+
+@contextlib.asynccontextmanager
+async def serving(app: Sanic, listen: Host) -> AsyncIterator[None]:
+    """Serves an application until the context ends."""
+    server = await app.create_server(
+        listen.host,
+        listen.port,
+        return_asyncio_server=True,
+        access_log=False,
+    )
+    await server.startup()
+    try:
+        yield
+    finally:
+        await server.close()
+
+
 @cappa.command(name="shallotstand-controller")
 def start(
     settings: Annotated[
--- a/apps/controller/src/shallotstand/controller/settings.py
+++ b/apps/controller/src/shallotstand/controller/settings.py
@@ -31,6 +31,23 @@
             "Entries and controllers to connect to at first.",
             (),
         ),
+        "entries": ListOf(
+            Address("Peer address of an entry."),
+            "Peer addresses of all entries, as the entries list them; a "
+            "majority of them confirms a configuration.",
+            (),
+        ),
+        "admin_listen": Address(
+            "Address of the administration API; none if left out.", None
+        ),
+        "admin_key_hashes": ListOf(
+            Text("Hash of an operator's key.", pattern=r"[0-9a-f]{64}"),
+            "Hashes of the keys that the administration API accepts.",
+            (),
+        ),
+        "metrics_listen": Address(
+            "Address of the metrics endpoint; none if left out.", None
+        ),
         "store_url": Text("Address of the object API.", pattern=_URL_PATTERN),
         "usage_url": Text(
             "Address that takes usage reports.", pattern=_URL_PATTERN
@@ -63,6 +80,10 @@
     zones: tuple[str, ...]
     usage_shards: int
     window_s: int
+    entries: tuple[Host, ...] = ()
+    admin_listen: Host | None = None
+    admin_key_hashes: tuple[str, ...] = ()
+    metrics_listen: Host | None = None
 
     @classmethod
     def from_config(cls, config: Mapping[str, Any]) -> "ControllerSettings":
--- a/apps/entry/src/shallotstand/entry/crashes.py
+++ b/apps/entry/src/shallotstand/entry/crashes.py
@@ -89,4 +89,4 @@
 
     def _broadcast(self, message: Crash | Release) -> None:
         if self.node is not None:
-            self.node.broadcast(message, "entry")
+            self.node.broadcast(message, "entry", "controller")
--- a/apps/entry/src/shallotstand/entry/gateway.py
+++ b/apps/entry/src/shallotstand/entry/gateway.py
@@ -12,6 +12,7 @@
 from shallotstand.core.prompt_blocks import prompt_blocks
 from shallotstand.entry.attempts import Attempts, Opened, Work
 from shallotstand.entry.sidecars import MAX_SUBMIT_BYTES
+from shallotstand.entry.traffic import NoTraffic, Trace, TrafficLog
 from shallotstand.link.messages import Request
 from shallotstand.objects.keys import KeyRing
 from shallotstand.objects.types import Catalog, ClientAccount, Key, Service
@@ -27,6 +28,9 @@
 _PRIORITIES = {"interactive": 1, "rollout": 0}
 
 
+_CANCELLED = Failure(ResultCode.CANCELLED, "The caller has gone.")
+
+
 class CallerRequest(NamedTuple):
     """A request as a front end received it.
 
@@ -107,6 +111,16 @@
             and self.status < _SERVER_ERROR
         )
 
+    @property
+    def code(self) -> ResultCode:
+        """How the answer ended; CANCELLED while it has not."""
+        last = self.stream.last
+        if last is None:
+            return ResultCode.CANCELLED
+        if last.code == ResultCode.OK and self.status >= _SERVER_ERROR:
+            return ResultCode.ENDPOINT_ERROR
+        return ResultCode(last.code)
+
     @property
     def is_whole(self) -> bool:
         """Whether nothing follows the first part."""
@@ -137,6 +151,7 @@
     Attributes:
       activity: Requests that have arrived and not ended.
       refusal: Why new requests are refused; None while they are served.
+      traffic: Takes each request that ends.
       keyed_refusal: Returns why requests with a key are refused, or None.
     """
 
@@ -164,6 +179,7 @@
         self._keys = KeyRing(())
         self._answers_by_key: dict[str, set[OpenAnswer]] = {}
         self.activity = Activity()
+        self.traffic: TrafficLog = NoTraffic()
         self.refusal: Failure | None = None
         self.keyed_refusal: Callable[[], Failure | None] = lambda: None
 
@@ -212,22 +228,28 @@
         if self.refusal is not None:
             return self.refusal
         self.activity.begin()
-        answer: OpenAnswer | Failure | None = None
+        trace = self.traffic.begin()
+        answer: OpenAnswer | Failure = _CANCELLED
         try:
-            answer = await self._serve(request)
+            answer = await self._serve(request, trace)
         finally:
-            # An open answer ends the activity when it is closed.
-            if answer is None or isinstance(answer, Failure):
+            # An open answer ends activity and trace when it is closed.
+            if isinstance(answer, Failure):
+                self.traffic.end(trace, answer.code)
                 self.activity.end()
         return answer
 
-    async def _serve(self, request: CallerRequest) -> OpenAnswer | Failure:
+    async def _serve(
+        self, request: CallerRequest, trace: Trace
+    ) -> OpenAnswer | Failure:
         route = self._find_route(request)
         if isinstance(route, Failure):
             return route
+        trace.service = route.service.name
         principal = self._authenticate(request, route.service)
         if isinstance(principal, Failure):
             return principal
+        trace.account = principal.account.name if principal.account else ""
         deadline = self._clock.monotonic() + route.service.deadline_s
         work = _work(request, route, principal, deadline)
         refusal = self._attempts.refusal(work)
@@ -246,7 +268,8 @@
         if isinstance(opened, Failure):
             permit.release(0)
             return opened
-        return self._open(opened, work, permit, principal)
+        self.traffic.answer_began(trace)
+        return self._open(opened, work, permit, principal, trace)
 
     def _open(
         self,
@@ -254,12 +277,14 @@
         work: Work,
         permit: Permit,
         principal: Principal,
+        trace: Trace,
     ) -> OpenAnswer:
         key = principal.key.name if principal.key else ""
         answers = self._answers_by_key.setdefault(key, set())
 
         def on_close(answer: OpenAnswer) -> None:
             answers.discard(answer)
+            self.traffic.end(trace, answer.code, answer.stream.tokens)
             if answer.is_normal:
                 self._on_normal_end(work.message.fingerprint)
             self.activity.end()
--- a/apps/entry/src/shallotstand/entry/main.py
+++ b/apps/entry/src/shallotstand/entry/main.py
@@ -1,13 +1,17 @@
 """The entry process in front of callers and trainers."""
 
 import asyncio
+import collections
 import random
 import signal
+from collections.abc import Iterable
 from typing import Annotated
 
 import cappa
 import uvloop
 from absl import logging
+from shallotstand.configsync.gauges import ConfigGauges, add_peer_gauge
+from shallotstand.configsync.sync import ConfigSync
 from shallotstand.control.adoption import ConfigKeeper
 from shallotstand.core import logs
 from shallotstand.core.clock import SystemClock
@@ -15,7 +19,7 @@
 from shallotstand.core.failure import Failure
 from shallotstand.core.ids import new_id
 from shallotstand.entry.attempts import Attempts, Policies
-from shallotstand.entry.config_sync import ConfigSync, serve_by
+from shallotstand.entry.config_sync import serve_by
 from shallotstand.entry.crashes import CrashDesk
 from shallotstand.entry.gateway import Gateway
 from shallotstand.entry.http_front import make_app
@@ -23,10 +27,14 @@
 from shallotstand.entry.settings import TABLE, EntrySettings
 from shallotstand.entry.shares import ShareExchange
 from shallotstand.entry.sidecars import Fleet, FleetListener
+from shallotstand.entry.traffic import Traffic
 from shallotstand.entry.trainer_front import add_trainer_routes
 from shallotstand.link.messages import Crash, Message, Peer, Release, Share
 from shallotstand.link.node import Identity, Node, PeerConnection
 from shallotstand.objects.types import Catalog, RolloutJob
+from shallotstand.observe.exposition import serve_metrics_at
+from shallotstand.observe.metrics import Metrics
+from shallotstand.observe.slo_recorder import SloRecorder
 from shallotstand.platform.http_store import HttpObjectStore
 from shallotstand.platform.protocols import ObjectStore
 from shallotstand.rollout.lease import StoreJobLease
@@ -95,6 +103,23 @@
         self._store = store
         self._clock = clock
         keeper.subscribe(self._adopt_jobs)
+        self.metrics = Metrics()
+        self.traffic = self.gateway.traffic = Traffic(
+            self.metrics,
+            SloRecorder(
+                settings.process_id, identity.incarnation, store, clock
+            ),
+            clock,
+        )
+        keeper.subscribe(self.traffic.adopt)
+        ConfigGauges(keeper, clock).add_to(self.metrics)
+        add_peer_gauge(self.metrics, self.node)
+        self.metrics.gauge(
+            "queue_length",
+            "Requests that wait.",
+            "service",
+            self._queue_lengths,
+        )
 
     @classmethod
     def from_config(
@@ -122,17 +147,30 @@
             access_log=False,
         )
         await http_server.startup()
+        exposing = await serve_metrics_at(
+            self.metrics, self.settings.metrics_listen
+        )
+        counting = asyncio.create_task(self.traffic.flush())
         sharing = asyncio.create_task(self.shares.run())
         logs.event(logging.INFO, "Started", listen=str(self.settings.listen))
         await stopping.wait()
         await self._drain()
         sharing.cancel()
+        counting.cancel()
         self.rollouts.close()
         await http_server.close()
         await self.config_sync.close()
         await self.node.close()
+        if exposing is not None:
+            await exposing.cleanup()
         logs.event(logging.INFO, "Stopped")
 
+    def _queue_lengths(self) -> Iterable[tuple[str, float]]:
+        waiting = collections.Counter()
+        for served in self.admission.served():
+            waiting[served.service] += served.waiting
+        return waiting.items()
+
     def _adopt_jobs(self, catalog: Catalog) -> None:
         self.rollouts.adopt(catalog, self._make_job)
 
--- a/apps/entry/src/shallotstand/entry/settings.py
+++ b/apps/entry/src/shallotstand/entry/settings.py
@@ -49,6 +49,9 @@
             660.0,
             unit="seconds",
         ),
+        "metrics_listen": Address(
+            "Address of the metrics endpoint; none if left out.", None
+        ),
         "interactive_first": Flag(
             "Whether interactive requests go before rollouts.", True
         ),
@@ -70,6 +73,7 @@
     request_timeout_s: float
     shutdown_deadline_s: float
     interactive_first: bool
+    metrics_listen: Host | None = None
 
     @classmethod
     def from_config(cls, config: Mapping[str, Any]) -> "EntrySettings":
--- a/apps/entry/tests/test_config_sync.py
+++ b/apps/entry/tests/test_config_sync.py
@@ -5,13 +5,14 @@
 import socket
 
 import pytest
+from shallotstand.configsync.sync import ConfigSync
 from shallotstand.control.adoption import ConfigKeeper
 from shallotstand.control.config_store import read_head
 from shallotstand.control.publication import publish
 from shallotstand.core.clock import ManualClock, SystemClock
 from shallotstand.core.codes import ResultCode as Code
 from shallotstand.core.failure import Failure
-from shallotstand.entry.config_sync import ConfigSync, serve_by
+from shallotstand.entry.config_sync import serve_by
 from shallotstand.entry.gateway import CallerRequest, Gateway
 from shallotstand.entry.main import Entry
 from shallotstand.entry.settings import EntrySettings
--- a/apps/sidecar/src/shallotstand/sidecar/main.py
+++ b/apps/sidecar/src/shallotstand/sidecar/main.py
@@ -12,8 +12,10 @@
 from shallotstand.core.ids import new_id
 from shallotstand.engine.http import HttpEngine
 from shallotstand.link.node import Identity, Node
+from shallotstand.observe.exposition import serve_metrics_at
 from shallotstand.settings.loader import load_or_exit
 from shallotstand.sidecar.endpoint import LocalEndpoint
+from shallotstand.sidecar.gauges import make_metrics
 from shallotstand.sidecar.order_gate import OrderGate
 from shallotstand.sidecar.peers import PeerService
 from shallotstand.sidecar.runner import Runner
@@ -22,6 +24,7 @@
 
 # Three checkpoints of a collector; the entries have copies of the records.
 USAGE_HANDOVER_S = 15.0
+LOOPBACK = "127.0.0.1"
 
 
 async def run(settings: SidecarSettings) -> None:
@@ -53,6 +56,11 @@
     tasks.append(asyncio.create_task(service.report_usage()))
     for address in settings.peers:
         node.dial(address.host, address.port)
+    metrics = make_metrics(endpoints_by_name, usage_log, node)
+    listen = (LOOPBACK, settings.metrics_port)
+    exposing = await serve_metrics_at(
+        metrics, listen if settings.metrics_port else None
+    )
     stopping, hurrying = asyncio.Event(), asyncio.Event()
 
     def on_signal() -> None:
@@ -71,6 +79,8 @@
     for task in tasks:
         task.cancel()
     await node.close()
+    if exposing is not None:
+        await exposing.cleanup()
     for endpoint in endpoints_by_name.values():
         await endpoint.engine.close()
     logs.event(logging.INFO, "Stopped")
--- a/apps/sidecar/src/shallotstand/sidecar/order_gate.py
+++ b/apps/sidecar/src/shallotstand/sidecar/order_gate.py
@@ -13,6 +13,9 @@
 # lifetime of an order: whatever was sent before has expired when it opens.
 CLOSED_AFTER_START_S = 10.0
 
+# This order is for the sidecar itself: the engine only loses its work.
+DRAIN = "drain"
+
 _CLOSED = Failure(
     ResultCode.ORDER_GATE_CLOSED, "The sidecar started too recently."
 )
@@ -68,6 +71,10 @@
         time_left_s = self._time_left_s(order)
         if time_left_s <= 0:
             return _EXPIRED
+        if order.action == DRAIN:
+            # The next load report tells the entries.
+            endpoint.leave()
+            return None
         return await endpoint.engine.order(
             EngineOrder(order.action, order.argument, order.epoch, time_left_s)
         )
--- a/apps/sidecar/src/shallotstand/sidecar/peers.py
+++ b/apps/sidecar/src/shallotstand/sidecar/peers.py
@@ -144,6 +144,7 @@
         self._acknowledged = asyncio.Event()
         # Controllers whose answer to the last Usage message has come.
         self._collector_by_source: dict[str, str] = {}
+        self._told_by_endpoint: dict[str, tuple[str, str]] = {}
         self._zone = zone
         self._endpoints_by_name = endpoints_by_name
         self._runner = runner
@@ -164,6 +165,8 @@
         session = PeerSession(
             peer, self._runner, self.activity, self._offer_orphan
         )
+        if peer.hello.role == "controller":
+            peer.send(self._load())
         try:
             async for message in peer.messages():
                 match message:
@@ -219,14 +222,27 @@
         self._runner.accepting = False
         for endpoint in self._endpoints_by_name.values():
             endpoint.leave()
-        reports = [e.report for e in self._endpoints_by_name.values()]
-        self.node.broadcast(Load(tuple(reports)), "entry")
+        self.node.broadcast(self._load(), "entry", "controller")
+
+    def _load(self) -> Load:
+        return Load(tuple(e.report for e in self._endpoints_by_name.values()))
 
     def on_report(self, endpoint: LocalEndpoint, crash: Crash | None) -> None:
         """Tells the entries of an endpoint's state."""
         self.node.broadcast(Load((endpoint.report,)), "entry")
+        self._tell_controllers(endpoint)
         if crash is not None:
-            self.node.broadcast(crash, "entry")
+            self.node.broadcast(crash, "entry", "controller")
+
+    def _tell_controllers(self, endpoint: LocalEndpoint) -> None:
+        """Sends a report if state or version changed.
+
+        Controllers only show these, so each report would be wasted traffic.
+        """
+        told = (endpoint.report.state, endpoint.report.version)
+        if self._told_by_endpoint.get(endpoint.name) != told:
+            self._told_by_endpoint[endpoint.name] = told
+            self.node.broadcast(Load((endpoint.report,)), "controller")
 
     async def report_usage(self) -> None:
         """Sends records that are not stored to the controllers, forever."""
--- /dev/null
+++ b/libs/configsync/src/shallotstand/configsync/gauges.py
@@ -0,0 +1,60 @@
+"""Gauges of the configuration in force and of the connected peers."""
+
+import collections
+from collections.abc import Iterable
+
+from shallotstand.control.adoption import ConfigKeeper
+from shallotstand.core.clock import Clock
+from shallotstand.link.node import Node
+from shallotstand.objects.types import Catalog
+from shallotstand.observe.metrics import Metrics
+
+
+class ConfigGauges:
+    """Reads a keeper and a node whenever metrics are scraped."""
+
+    def __init__(self, keeper: ConfigKeeper, clock: Clock):
+        self._keeper = keeper
+        self._clock = clock
+        self._revision = -1
+        self._adopted_at = clock.monotonic()
+        keeper.subscribe(self._on_catalog)
+
+    def add_to(self, metrics: Metrics) -> None:
+        """Adds the gauges to a process's metrics."""
+        metrics.gauge(
+            "config_revision",
+            "Configuration revision: in force here, highest named by anyone.",
+            "kind",
+            self._revisions,
+        )
+        metrics.gauge(
+            "config_age_seconds",
+            "Time since the revision in force was adopted.",
+            "kind",
+            lambda: [("in_force", self._age_s())],
+        )
+
+    def _revisions(self) -> Iterable[tuple[str, float]]:
+        yield "in_force", self._keeper.catalog.revision
+        yield "highest_named", self._keeper.highest_named
+
+    def _age_s(self) -> float:
+        return self._clock.monotonic() - self._adopted_at
+
+    def _on_catalog(self, catalog: Catalog) -> None:
+        if catalog.revision != self._revision:
+            self._revision = catalog.revision
+            self._adopted_at = self._clock.monotonic()
+
+
+def add_peer_gauge(metrics: Metrics, node: Node) -> None:
+    """Adds the number of connected peers by role."""
+    metrics.gauge(
+        "peers",
+        "Connected processes.",
+        "role",
+        lambda: collections.Counter(
+            peer.hello.role for peer in node.peers_by_id.values()
+        ).items(),
+    )
--- a/libs/control/src/shallotstand/control/config_store.py
+++ b/libs/control/src/shallotstand/control/config_store.py
@@ -137,6 +137,26 @@
     return await _follow(store, head, snapshot, backoff)
 
 
+async def read_changed_names(
+    store: ObjectStore,
+    head: Head,
+    revision: int,
+    backoff: Backoff = DEFAULT_BACKOFF,
+) -> tuple[str, ...] | Failure:
+    """Returns kind and name of each object changed after a revision.
+
+    Errors:
+      STORE_UNAVAILABLE: No answer.
+      OBJECT_NOT_FOUND: A delta is missing.
+      DIGEST_MISMATCH: The content is damaged.
+    """
+    since = Catalog.empty()._replace(revision=revision)
+    deltas = await _read_deltas(store, head, since, backoff)
+    if isinstance(deltas, Failure):
+        return deltas
+    return tuple(sorted({name for delta in deltas for name in delta.names}))
+
+
 async def _follow(
     store: ObjectStore, head: Head, held: Catalog, backoff: Backoff
 ) -> Catalog | Failure:
--- a/libs/control/src/shallotstand/control/scopes.py
+++ b/libs/control/src/shallotstand/control/scopes.py
@@ -146,6 +146,16 @@
         if held and value["epoch"] > held.epoch:
             del self.held_by_name[name]
 
+    def holders(self) -> dict[str, tuple[str, int]]:
+        """Returns holder and epoch of each scope that was seen.
+
+        The holder's name is empty while the scope is free.
+        """
+        return {
+            name: (value.get("holder", ""), value["epoch"])
+            for name, value in sorted(self._values_by_name.items())
+        }
+
     async def settle(self, wanted: Iterable[str]) -> None:
         """Takes over and releases whatever the policy says.
 
--- a/libs/core/src/shallotstand/core/codes.py
+++ b/libs/core/src/shallotstand/core/codes.py
@@ -90,6 +90,8 @@
     BAD_FRAME = 7002
     FRAME_TOO_LARGE = 7003
     PEER_SLOW = 7004
+    ADMIN_KEY_WRONG = 7005
+    ADMIN_UNREACHABLE = 7006
 
     INTERNAL = 9001
 
@@ -292,6 +294,12 @@
     ResultCode.PEER_SLOW: CodeInfo(
         503, "A peer did not read its messages in time."
     ),
+    ResultCode.ADMIN_KEY_WRONG: CodeInfo(
+        401, "The administration API does not know this key."
+    ),
+    ResultCode.ADMIN_UNREACHABLE: CodeInfo(
+        503, "The administration API can't be reached."
+    ),
     ResultCode.INTERNAL: CodeInfo(500, "A fault in shallotstand itself."),
 }
 
--- /dev/null
+++ b/libs/core/src/shallotstand/core/version.py
@@ -0,0 +1,5 @@
+"""Version of the programs, told to peers and shown by `status`."""
+
+import importlib.metadata
+
+VERSION = importlib.metadata.version("shallotstand-core")
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -38,6 +38,7 @@
   endpoints @6 :List(EndpointInfo);
   suspects @7 :List(Data);
   quarantined @8 :List(QuarantinedRequest);
+  version @9 :Text;
 }
 
 struct Ping {
@@ -140,6 +141,7 @@
 
 struct ConfigHeld {
   revision @0 :UInt64;
+  digest @1 :Text;
 }
 
 struct Withdraw {
--- a/libs/link/src/shallotstand/link/messages.py
+++ b/libs/link/src/shallotstand/link/messages.py
@@ -64,6 +64,7 @@
       endpoints: Endpoints that it serves; empty unless it is a sidecar.
       suspects: Fingerprints that ran on an endpoint when that crashed.
       quarantined: Requests that an entry refuses.
+      version: Version of the program.
     """
 
     process_id: str
@@ -75,6 +76,7 @@
     endpoints: tuple[EndpointInfo, ...] = ()
     suspects: tuple[bytes, ...] = ()
     quarantined: tuple[QuarantinedRequest, ...] = ()
+    version: str = ""
 
 
 class Ping(NamedTuple):
@@ -274,9 +276,15 @@
 
 
 class ConfigHeld(NamedTuple):
-    """Tells that the sender now serves by this revision."""
+    """Tells that the sender now serves by this revision.
+
+    Attributes:
+      revision: Number of the revision.
+      digest: Digest of its objects.
+    """
 
     revision: int
+    digest: str = ""
 
 
 class Withdraw(NamedTuple):
--- a/libs/link/src/shallotstand/link/node.py
+++ b/libs/link/src/shallotstand/link/node.py
@@ -10,6 +10,7 @@
 from absl import logging
 from shallotstand.core import logs
 from shallotstand.core.clock import Clock
+from shallotstand.core.version import VERSION
 from shallotstand.link.codec import encode
 from shallotstand.link.link import Link
 from shallotstand.link.messages import Hello, Message, Peer, Ping
@@ -62,10 +63,15 @@
         self._heard_at = clock.monotonic()
         self._clock_offset_ms: int | None = None
 
+    @property
+    def silence_s(self) -> float:
+        """Seconds since the peer's last message."""
+        return self._clock.monotonic() - self._heard_at
+
     @property
     def is_silent(self) -> bool:
         """Whether the peer has missed its last pings."""
-        return self._clock.monotonic() - self._heard_at > SUSPECT_SILENCE_S
+        return self.silence_s > SUSPECT_SILENCE_S
 
     @property
     def peer_now_ms(self) -> int | None:
@@ -309,6 +315,7 @@
                 incarnation=identity.incarnation,
                 revision=self.revision,
                 roster=tuple(roster.values()),
+                version=VERSION,
             )
         )
 
--- a/libs/objects/src/shallotstand/objects/records.py
+++ b/libs/objects/src/shallotstand/objects/records.py
@@ -59,13 +59,34 @@
     Args:
       paths: Files, or directories whose `*.toml` files are read by name.
     """
-    read = [_read_file(file) for file in find_files(paths)]
+    return _join([_read_file(file) for file in find_files(paths)])
+
+
+def _join(read: Iterable[Records]) -> Records:
+    read = tuple(read)
     return Records(
         tuple(record for each in read for record in each.records),
         tuple(error for each in read for error in each.errors),
     )
 
 
+class SetFile(NamedTuple):
+    """A TOML file whose text was sent by an operator.
+
+    Attributes:
+      name: Name for error messages.
+      text: Content.
+    """
+
+    name: str
+    text: str
+
+
+def read_texts(files: Iterable[SetFile]) -> Records:
+    """Reads files whose text is at hand."""
+    return _join([_read_text(file.name, file.text) for file in files])
+
+
 def read_document(document: Mapping[str, Any], file: str) -> Records:
     """Checks the tables of one TOML document.
 
@@ -90,11 +111,23 @@
 
 def _read_file(file: pathlib.Path) -> Records:
     try:
-        document = tomllib.loads(file.read_text("utf-8"))
+        text = file.read_text("utf-8")
     except (OSError, ValueError) as error:
-        detail = ErrorDetail(ResultCode.OBJECT_SYNTAX, str(file), str(error))
-        return Records((), (detail,))
-    return read_document(document, file.name)
+        return _unreadable(str(file), error)
+    return _read_text(file.name, text)
+
+
+def _read_text(name: str, text: str) -> Records:
+    try:
+        document = tomllib.loads(text)
+    except ValueError as error:
+        return _unreadable(name, error)
+    return read_document(document, name)
+
+
+def _unreadable(name: str, error: Exception) -> Records:
+    detail = ErrorDetail(ResultCode.OBJECT_SYNTAX, name, str(error))
+    return Records((), (detail,))
 
 
 def _check_kind(kind_name: str, items: Any) -> str:
--- a/libs/objects/src/shallotstand/objects/tables.py
+++ b/libs/objects/src/shallotstand/objects/tables.py
@@ -25,6 +25,8 @@
 # No request may run longer, so that a graceful shutdown can wait for all.
 _MAX_DEADLINE_S = 600
 _MAX_HTTP_STATUS = 599
+# A share of 1 leaves no error budget to burn.
+_MAX_GOOD_SHARE = 0.99999
 _MIN_HTTP_STATUS = 400
 
 _CLIENT_ACCOUNT = Table(
@@ -98,6 +100,19 @@
             0.0,
             unit="seconds",
         ),
+        "objective_good_share": Number(
+            "Share of requests that must be good; 0 for no objective.",
+            0.0,
+            0,
+            _MAX_GOOD_SHARE,
+        ),
+        "objective_latency_s": Number(
+            "Time within which a good request's answer begins; 0 for any.",
+            0.0,
+            0,
+            _MAX_DEADLINE_S,
+            "seconds",
+        ),
     }
 )
 
--- a/libs/objects/src/shallotstand/objects/types.py
+++ b/libs/objects/src/shallotstand/objects/types.py
@@ -79,6 +79,10 @@
       deadline_s: Longest time from arrival to the end of an answer.
       weights_interval_s: Seconds between new versions of the model; 0 if they
         come at no regular time.
+      objective_good_share: Share of requests that must be good; 0 for no
+        objective.
+      objective_latency_s: Time within which the answer of a good request
+        begins; 0 for any time.
     """
 
     name: str
@@ -95,12 +99,19 @@
     max_queue: int
     deadline_s: float
     weights_interval_s: float = 0.0
+    objective_good_share: float = 0.0
+    objective_latency_s: float = 0.0
 
     @classmethod
     def from_config(cls, config: Mapping[str, Any]) -> "Service":
         """Makes the object from a table that passed its check."""
         numbers = _as_floats(
-            config, "tokens_per_second", "deadline_s", "weights_interval_s"
+            config,
+            "tokens_per_second",
+            "deadline_s",
+            "weights_interval_s",
+            "objective_good_share",
+            "objective_latency_s",
         )
         endpoints = tuple(map(Endpoint.from_config, config["endpoints"]))
         statuses = tuple(config["not_run_statuses"])
--- a/libs/observe/src/shallotstand/observe/burn_text.py
+++ b/libs/observe/src/shallotstand/observe/burn_text.py
@@ -3,7 +3,14 @@
 from collections.abc import Sequence
 from typing import TypedDict
 
-from shallotstand.observe.burn import HOUR_S, MINUTE_S, SubjectBurn, WindowBurn
+from shallotstand.observe.burn import (
+    HOUR_S,
+    MINUTE_S,
+    Objective,
+    Subject,
+    SubjectBurn,
+    WindowBurn,
+)
 
 _NO_RATE = "-"
 
@@ -49,6 +56,28 @@
     ]
 
 
+def from_json(burns: Sequence[BurnJson]) -> list[SubjectBurn]:
+    """Returns what `render_json` was given."""
+    return [
+        SubjectBurn(
+            objective=Objective(
+                Subject(burn["service"], burn["account"]), burn["target"]
+            ),
+            windows=tuple(
+                WindowBurn(
+                    _window_length(window["window"]),
+                    window["rate"],
+                    window["counted"],
+                )
+                for window in burn["windows"]
+            ),
+            budget_left=burn["budget_left"],
+            alerts=tuple(burn["alerts"]),
+        )
+        for burn in burns
+    ]
+
+
 def render_text(burns: Sequence[SubjectBurn]) -> str:
     """Returns the report as a table; `*` marks rates with missing minutes."""
     if not burns:
@@ -77,6 +106,11 @@
     return f"{length_s // HOUR_S}h"
 
 
+def _window_length(name: str) -> int:
+    unit = HOUR_S if name.endswith("h") else MINUTE_S
+    return int(name[:-1]) * unit
+
+
 def _row(burn: SubjectBurn) -> list[str]:
     subject = burn.objective.subject
     return [
--- a/libs/observe/src/shallotstand/observe/exposition.py
+++ b/libs/observe/src/shallotstand/observe/exposition.py
@@ -6,6 +6,15 @@
 _CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 
 
+async def serve_metrics_at(
+    metrics: Metrics, address: tuple[str, int] | None
+) -> web.AppRunner | None:
+    """Serves `/metrics` at an address; does nothing without one."""
+    if address is None:
+        return None
+    return await serve_metrics(metrics, *address)
+
+
 async def serve_metrics(
     metrics: Metrics, host: str, port: int
 ) -> web.AppRunner:
--- a/libs/settings/src/shallotstand/settings/loader.py
+++ b/libs/settings/src/shallotstand/settings/loader.py
@@ -7,7 +7,7 @@
 
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import ErrorDetail, Failure
-from shallotstand.settings.options import Table
+from shallotstand.settings.options import REQUIRED, Table
 
 EXIT_SETTINGS = 2
 
@@ -51,10 +51,9 @@
     rows = []
     for name, option in table.options_by_name.items():
         item = getattr(option, "item", option)
-        required = not isinstance(option.default, str | int | float | tuple)
-        default = "required" if required else f"`{option.default}`"
+        default = _show_default(option.default)
         rows.append(
-            f"| `{prefix}{name}` | {option.describe()} | {default} "
+            f"| `{prefix}{name}` | {_in_cell(option.describe())} | {default} "
             f"| {option.help} |\n"
         )
         if isinstance(item, Table):
@@ -62,6 +61,21 @@
     return "".join(rows)
 
 
+def _in_cell(text: str) -> str:
+    """Returns text whose bars don't end the cell of a table."""
+    return text.replace("|", "\\|")
+
+
+def _show_default(default: Any) -> str:
+    if default is REQUIRED:
+        return "required"
+    if default in (None, "", ()):
+        return "none"
+    if isinstance(default, bool):
+        return f"`{str(default).lower()}`"
+    return f"`{default}`"
+
+
 def load_or_exit(path: str, table: Table) -> dict[str, Any]:
     """Reads a program's settings; ends the program if they are not valid.
 
