Add the operators' command

Cause: the administration API had no client for people and scripts. Change: `shallotstand` has a thin command for each act, over plain functions; errors are numbered, exit codes are tabled from the code.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,9 @@
 pages: install
 	sed -i '/^| code/,$$d' docs/result-codes.md
 	$(BIN)/python -m shallotstand.core.codes >> docs/result-codes.md
+	sed -i '/^| exit/,$$d' docs/exit-codes.md
+	$(BIN)/python -m shallotstand.cli.exits >> docs/exit-codes.md
+	$(BIN)/python -m pages
 
 demo: install
 	$(BIN)/python -m shallotstand.standins.demo
