--- /dev/null
+++ b/pages/__init__.py
@@ -0,0 +1,1 @@
+"""Pages of docs/ that are made from the code."""
