--- a/apps/controller/src/shallotstand/controller/admin_drain.py
+++ b/apps/controller/src/shallotstand/controller/admin_drain.py
@@ -1,6 +1,6 @@
 """Draining endpoints and instances; knows nothing of HTTP."""
 
-from typing import TypedDict
+from typing import NamedTuple, TypedDict
 
 from shallotstand.controller.controller import Controller
 from shallotstand.controller.receivers import EngineOrders
@@ -17,13 +17,12 @@
     drained: list[str]
 
 
-class _Target:
+class _Target(NamedTuple):
     """A connected endpoint."""
 
-    def __init__(self, name: str, service: str, sidecar: str):
-        self.name = name
-        self.service = service
-        self.sidecar = sidecar
+    name: str
+    service: str
+    sidecar: str
 
 
 async def drain(controller: Controller, name: str) -> DrainAnswer | Failure:
