--- a/apps/entry/src/shallotstand/entry/gateway.py
+++ b/apps/entry/src/shallotstand/entry/gateway.py
@@ -12,6 +12,7 @@
 from shallotstand.core.prompt_blocks import prompt_blocks
 from shallotstand.entry.attempts import Attempts, Opened, Work
 from shallotstand.entry.sidecars import MAX_SUBMIT_BYTES
+from shallotstand.entry.traffic import NoTraffic, Trace, TrafficLog
 from shallotstand.link.messages import Request
 from shallotstand.objects.keys import KeyRing
 from shallotstand.objects.types import Catalog, ClientAccount, Key, Service
@@ -28,6 +29,9 @@
 _WITHDRAWN_REASON = "The key was withdrawn."
 
 
+_CANCELLED = Failure(ResultCode.CANCELLED, "The caller has gone.")
+
+
 class CallerRequest(NamedTuple):
     """A request as a front end received it.
 
@@ -108,6 +112,16 @@
             and self.status < _SERVER_ERROR
         )
 
+    @property
+    def code(self) -> ResultCode:
+        """How the answer ended; CANCELLED while it has not."""
+        last = self.stream.last
+        if last is None:
+            return ResultCode.CANCELLED
+        if last.code == ResultCode.OK and self.status >= _SERVER_ERROR:
+            return ResultCode.ENDPOINT_ERROR
+        return ResultCode(last.code)
+
     @property
     def is_whole(self) -> bool:
         """Whether nothing follows the first part."""
@@ -138,6 +152,7 @@
     Attributes:
       activity: Requests that have arrived and not ended.
       refusal: Why new requests are refused; None while they are served.
+      traffic: Takes each request that ends.
       keyed_refusal: Returns why requests with a key are refused, or None.
     """
 
@@ -165,6 +180,7 @@
         self._keys = KeyRing(())
         self._answers_by_key: dict[str, set[OpenAnswer]] = {}
         self.activity = Activity()
+        self.traffic: TrafficLog = NoTraffic()
         self.refusal: Failure | None = None
         self.keyed_refusal: Callable[[], Failure | None] = lambda: None
 
@@ -215,22 +231,28 @@
         if self.refusal is not None:
             return self.refusal
         self.activity.begin()
-        answer: OpenAnswer | Failure | None = None
+        trace = self.traffic.begin()
+        answer: OpenAnswer | Failure = _CANCELLED
         try:
-            answer = await self._serve(request)
+            answer = await self._serve(request, trace)
         finally:
-            # An open answer ends the activity when it is closed.
-            if answer is None or isinstance(answer, Failure):
+            # An open answer ends activity and trace when it is closed.
+            if isinstance(answer, Failure):
+                self.traffic.end(trace, answer.code)
                 self.activity.end()
         return answer
 
-    async def _serve(self, request: CallerRequest) -> OpenAnswer | Failure:
+    async def _serve(
+        self, request: CallerRequest, trace: Trace
+    ) -> OpenAnswer | Failure:
         route = self._find_route(request)
         if isinstance(route, Failure):
             return route
+        trace.service = route.service.name
         principal = self._authenticate(request, route.service)
         if isinstance(principal, Failure):
             return principal
+        trace.account = principal.account.name if principal.account else ""
         deadline = self._clock.monotonic() + route.service.deadline_s
         work = _work(request, route, principal, deadline)
         refusal = self._attempts.refusal(work)
@@ -254,12 +276,13 @@
         if isinstance(opened, Failure):
             permit.release(0)
             return opened
+        self.traffic.answer_began(trace)
         if self._is_withdrawn(principal):
             # It was no open answer yet when the configuration was adopted.
             opened.close()
             permit.release(opened.stream.tokens)
             return Failure(ResultCode.STREAM_KEY_WITHDRAWN, _WITHDRAWN_REASON)
-        return self._open(opened, work, permit, principal)
+        return self._open(opened, work, permit, principal, trace)
 
     def _is_withdrawn(self, principal: Principal) -> bool:
         key = principal.key
@@ -281,12 +304,14 @@
         work: Work,
         permit: Permit,
         principal: Principal,
+        trace: Trace,
     ) -> OpenAnswer:
         key = principal.key.name if principal.key else ""
         answers = self._answers_by_key.setdefault(key, set())
 
         def on_close(answer: OpenAnswer) -> None:
             answers.discard(answer)
+            self.traffic.end(trace, answer.code, answer.stream.tokens)
             if answer.is_normal:
                 self._on_normal_end(work.message.fingerprint)
             self.activity.end()
--- a/apps/entry/src/shallotstand/entry/settings.py
+++ b/apps/entry/src/shallotstand/entry/settings.py
@@ -57,6 +57,9 @@
             "",
             pattern=r"(https?://.+)?",
         ),
+        "metrics_listen": Address(
+            "Address of the metrics endpoint; none if left out.", None
+        ),
         "interactive_first": Flag(
             "Whether interactive requests go before rollouts.", True
         ),
@@ -80,6 +83,7 @@
     interactive_first: bool
     window_s: int = 300
     instances_url: str = ""
+    metrics_listen: Host | None = None
 
     @classmethod
     def from_config(cls, config: Mapping[str, Any]) -> "EntrySettings":
--- a/apps/sidecar/src/shallotstand/sidecar/load_reporter.py
+++ b/apps/sidecar/src/shallotstand/sidecar/load_reporter.py
@@ -45,7 +45,7 @@
         self._evicted: deque[tuple[int, int]] = deque(maxlen=MAX_EVENTS)
 
     def greet(self, peer: PeerConnection) -> None:
-        """Sends whole reports to an entry that has just connected."""
+        """Sends whole reports to a peer that has just connected."""
         peer.send(Load(self._reports()))
 
     def on_report(self, endpoint: LocalEndpoint, crash: Crash | None) -> None:
@@ -60,15 +60,16 @@
         self._added.extend((index, block) for block in report.added)
         self._evicted.extend((index, block) for block in report.evicted)
         if crash is not None:
-            self.node.broadcast(crash, "entry")
+            self.node.broadcast(crash, "entry", "controller")
 
     def tell(self, *endpoints: LocalEndpoint) -> None:
-        """Sends whole reports of endpoints to every entry."""
+        """Sends whole reports of endpoints to every entry and controller."""
         for endpoint in endpoints:
             self._told_by_name[endpoint.name] = endpoint.report
             self._changed.discard(endpoint.name)
         reports = tuple(_without_events(e.report) for e in endpoints)
-        self.node.broadcast(Load(reports), "entry")
+        # Controllers show state and version only, so they get no samples.
+        self.node.broadcast(Load(reports), "entry", "controller")
 
     async def run(self) -> None:
         """Sends the samples of each second, until cancelled."""
