Keep job leases out of scope/ and ignore objects in another form there

Rollout job leases are lists below scope/job/, which the controllers watch as scopes; decoding one ended the watch and both controllers with it, whenever an entry wrote a lease. A restart's SIGTERM then met a process that was already exiting. Change: job leases are kept below job-lease/; a scope object in another form is logged and ignored; a controller logs the traceback of a duty that ends. The new test of foreign objects failed with TypeError before.

--- a/apps/controller/src/shallotstand/controller/controller.py
+++ b/apps/controller/src/shallotstand/controller/controller.py
@@ -1,8 +1,10 @@
 """The controller without its HTTP clients and command line."""
 
 import asyncio
+import traceback
 from collections.abc import AsyncIterator, Callable
 
+from absl import logging
 from shallotstand.configsync.sync import ConfigSync, peer_name
 from shallotstand.control.adoption import ConfigKeeper
 from shallotstand.control.orders import OrderDesk
@@ -18,6 +20,7 @@
 from shallotstand.controller.receivers import OrderResults
 from shallotstand.controller.settings import ControllerSettings
 from shallotstand.controller.usage_duty import UsageDuty
+from shallotstand.core import logs
 from shallotstand.core.clock import Clock
 from shallotstand.core.failure import Failure
 from shallotstand.link.messages import (
@@ -138,7 +141,13 @@
             asyncio.create_task(self._settle()),
         ]
         # Any of these that ends, ends the process: none can be done without.
-        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        ended, _ = await asyncio.wait(
+            tasks, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in ended:
+            if (error := task.exception()) is not None:
+                trace = "".join(traceback.format_exception(error))
+                logs.event(logging.ERROR, "Duty failed", traceback=trace)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- a/libs/control/src/shallotstand/control/scopes.py
+++ b/libs/control/src/shallotstand/control/scopes.py
@@ -5,7 +5,10 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+import orjson
+from absl import logging
 from shallotstand.control.sessions import OwnSession, SessionId, SessionTable
+from shallotstand.core import logs
 from shallotstand.core.clock import Clock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
@@ -138,7 +141,9 @@
         if isinstance(stored, Failure) or stored.version == 0:
             return
         name = stored.key.removeprefix(PREFIX)
-        value = decode_value(stored.value)
+        value = _scope_value(stored)
+        if value is None:
+            return
         if value["epoch"] < self._value(name).get("epoch", 0):
             return  # the watch lags behind this process's own takeover
         self._values_by_name[name] = value
@@ -250,3 +255,15 @@
     if holder_of(value) == own and value["epoch"] == held.epoch:
         return None
     return Failure(ResultCode.STALE_EPOCH, f"{held.name} was taken over.")
+
+
+def _scope_value(stored: StoredObject) -> Value | None:
+    """Returns a scope's value; None for an object in another form.
+
+    One such object must not end the watch, and with it every controller.
+    """
+    value = orjson.loads(stored.value)
+    if isinstance(value, dict) and isinstance(value.get("epoch"), int):
+        return decode_value(stored.value)
+    logs.event(logging.ERROR, "Object is no scope", key=stored.key)
+    return None
--- a/libs/control/tests/test_scopes.py
+++ b/libs/control/tests/test_scopes.py
@@ -15,6 +15,7 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.platform.conditional import Backoff
+from shallotstand.platform.protocols import StoredObject
 from shallotstand.standins.object_store import StandinObjectStore, StoreFaults
 
 SCOPE = "zone/peak-a"
@@ -54,6 +55,14 @@
     asyncio.run(check())
 
 
+def test_object_in_another_form_does_not_end_the_watch():
+    # Job leases once stood below scope/ as lists and ended every controller.
+    _, _, one = world("one")
+    for value in (b"[1]", b"{}", b'{"epoch": "x"}'):
+        one.keeper.observe(StoredObject("scope/job/drafts", 7, value))
+    assert one.keeper.holders() == {}
+
+
 def test_own_lease_counts_from_the_start_of_the_renewal():
     async def check():
         store, clock, one = world("one")
--- a/libs/rollout/src/shallotstand/rollout/lease.py
+++ b/libs/rollout/src/shallotstand/rollout/lease.py
@@ -47,7 +47,7 @@
 
 
 class _Scope(NamedTuple):
-    """Value of `scope/job/<name>`."""
+    """Value of `job-lease/<name>`."""
 
     holder: str
     address: str
@@ -56,7 +56,7 @@
 
 
 class StoreJobLease:
-    """A lease that its holder renews in `scope/job/<name>`.
+    """A lease that its holder renews in `job-lease/<name>`.
 
     Stands in for the sessions of libs/control, which cost one renewal for a
     process instead of one for each job.
@@ -72,7 +72,7 @@
     ):
         self.epoch = 0
         self._store = store
-        self._key = f"scope/job/{job}"
+        self._key = f"job-lease/{job}"
         self._process = process
         self._address = address
         self._clock = clock
