--- a/apps/entry/src/shallotstand/entry/main.py
+++ b/apps/entry/src/shallotstand/entry/main.py
@@ -108,26 +108,15 @@
             clock,
             self.crashes.finish,
         )
-        address = settings.peer_listen
-        identity = Identity(
-            settings.process_id,
-            "entry",
-            settings.zone,
-            new_id(),
-            Peer(
-                settings.process_id,
-                "entry",
-                settings.zone,
-                address.host,
-                address.port,
-            ),
-        )
+        identity = _identity(settings)
         self.node = Node(
             identity, self._serve_peer, clock, self.crashes.describe
         )
         self.crashes.node = self.shares.node = self.node
         self.usage.node = self.members.node = self.node
-        keeper = ConfigKeeper(str(address), map(str, settings.entries), clock)
+        keeper = ConfigKeeper(
+            str(settings.peer_listen), map(str, settings.entries), clock
+        )
         serve_by(keeper, self.gateway)
         self.config_sync = ConfigSync(keeper, store, self.node)
         self._store = store
@@ -268,6 +257,16 @@
         await self.gateway.activity.wait_idle(self.settings.shutdown_deadline_s)
 
 
+def _identity(settings: EntrySettings) -> Identity:
+    """Returns who this process is to its peers."""
+    address = Peer(
+        settings.process_id, "entry", settings.zone, *settings.peer_listen
+    )
+    return Identity(
+        settings.process_id, "entry", settings.zone, new_id(), address
+    )
+
+
 @cappa.command(name="shallotstand-entry")
 def start(
     settings: Annotated[
