Start programs and pick addresses in one place

Cause: measure/ had its own way to start programs, and five tests and measure/ each picked free ports, although the stand-ins' processes module does both. An address was also taken from the range of outgoing connections, so one of those could hold it before its program listened ('address already in use' was seen once in test_terminated_entry_finishes_its_stream). Change: all of them call Program and free_address; addresses lie below that range and none is given twice; measure/use.py keeps only what it measures. Conclusion: no assertion changed.

--- a/apps/controller/tests/test_admin.py
+++ b/apps/controller/tests/test_admin.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import itertools
-import socket
 from typing import NamedTuple
 
 import aiohttp
@@ -22,8 +21,8 @@
 from shallotstand.link.messages import Peer
 from shallotstand.link.node import Identity, Node
 from shallotstand.objects.keys import hash_key
-from shallotstand.settings.options import Host
 from shallotstand.standins.object_store import StandinObjectStore, StoreFaults
+from shallotstand.standins.processes import free_address
 
 NUMBERS = itertools.count(1)
 AUTH = {"Authorization": "Bearer operator-1"}
@@ -44,12 +43,6 @@
 )
 
 
-def free_host() -> Host:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Host(*probe.getsockname())
-
-
 class SmallEntry:
     """The parts of an entry that confirm a configuration."""
 
@@ -99,7 +92,11 @@
 def run_admin(check, with_entry=True):
     async def run():
         store = StandinObjectStore()
-        listen, admin, entry_host = free_host(), free_host(), free_host()
+        listen, admin, entry_host = (
+            free_address(),
+            free_address(),
+            free_address(),
+        )
         settings = ControllerSettings(
             *("c1", "z", "info", listen, (), "", "", (), 1, 300),
             entries=(entry_host,),
--- a/apps/entry/tests/test_config_sync.py
+++ b/apps/entry/tests/test_config_sync.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
 
 import pytest
 from shallotstand.configsync.sync import ConfigSync
@@ -21,8 +20,8 @@
 from shallotstand.objects.keys import hash_key
 from shallotstand.objects.types import Catalog, ClientAccount, Key, Service
 from shallotstand.platform.conditional import Backoff
-from shallotstand.settings.options import Host
 from shallotstand.standins.object_store import StandinObjectStore, StoreFaults
+from shallotstand.standins.processes import free_address
 
 FAST = Backoff(attempts=4, first_s=0.01, longest_s=0.05)
 DOWN, UP = StoreFaults(down=True), StoreFaults()
@@ -39,12 +38,6 @@
 )
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class SmallEntry:
     """The parts of an entry that concern its configuration."""
 
@@ -115,7 +108,7 @@
         async with contextlib.AsyncExitStack() as stack:
             store = StandinObjectStore()
             await publish(store, Catalog.empty(), CATALOG, FAST)
-            ports = [free_port() for _ in range(3)]
+            ports = [free_address().port for _ in range(3)]
 
             async def start(number, **options):
                 entry = SmallEntry(ports, number, store, **options)
@@ -226,7 +219,7 @@
     async def body():
         store = StandinObjectStore()
         await publish(store, Catalog.empty(), CATALOG, FAST)
-        listen, peers = (Host("127.0.0.1", free_port()) for _ in range(2))
+        listen, peers = (free_address() for _ in range(2))
         settings = EntrySettings(
             *("e", "z", "info", listen, peers, (peers,), "http://x"),
             *(1024, 1.0, 1.0, True),
--- a/apps/standins/src/shallotstand/standins/processes.py
+++ b/apps/standins/src/shallotstand/standins/processes.py
@@ -3,11 +3,16 @@
 import asyncio
 import contextlib
 import pathlib
+import random
 import socket
 import sys
 
 from shallotstand.settings.options import Host
 
+# Below the range from which Linux takes the ports of outgoing connections: such
+# a connection could otherwise take an address before its program listens.
+_PORTS = range(20_000, 32_000)
+_given: set[Host] = set()
 START_TIMEOUT_S = 15.0
 STOP_TIMEOUT_S = 5.0
 # Every program logs this once it serves.
@@ -15,10 +20,25 @@
 
 
 def free_address() -> Host:
-    """Returns a loopback address that nothing listens at."""
+    """Returns a loopback address that nothing listens at.
+
+    No address is returned twice, so several programs can be planned before
+    the first of them listens.
+    """
+    while True:
+        address = Host("127.0.0.1", random.choice(_PORTS))
+        if address not in _given and _is_free(address):
+            _given.add(address)
+            return address
+
+
+def _is_free(address: Host) -> bool:
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Host(*probe.getsockname())
+        try:
+            probe.bind(address)
+        except OSError:
+            return False
+    return True
 
 
 class Program:
--- a/libs/link/tests/test_node.py
+++ b/libs/link/tests/test_node.py
@@ -1,19 +1,13 @@
 """Connections between processes: duplicates, bad peers, slow peers."""
 
 import asyncio
-import socket
 
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.codes import ResultCode
 from shallotstand.link.link import Link
 from shallotstand.link.messages import Config, ConfigAsk, Peer
 from shallotstand.link.node import Identity, Node
-
-
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+from shallotstand.standins.processes import free_address
 
 
 class Echo:
@@ -21,7 +15,7 @@
 
     def __init__(self, name: str):
         self.received = []
-        port = free_port()
+        port = free_address().port
         address = Peer(name, "entry", "peak-a", "127.0.0.1", port)
         self.node = Node(
             Identity(name, "entry", "peak-a", name + "-1", address),
--- a/measure/control_cost.py
+++ b/measure/control_cost.py
@@ -23,8 +23,9 @@
     Peer,
 )
 from shallotstand.link.node import Identity, Node, PeerConnection
+from shallotstand.standins.processes import Program, free_address
 
-from measure.programs import Slope, fit, free_ports, program, use_over
+from measure.use import Slope, fit, use_over
 
 SECONDS = 10.0
 SETTLE_S = 3.0
@@ -110,35 +111,45 @@
 
 async def measure_sidecar(folder: pathlib.Path, peers: int) -> dict:
     """Measures a sidecar with eight engines and this many peers."""
-    ports = free_ports(peers + 2)
+    engine_port, *ports = (free_address().port for _ in range(peers + 1))
     stubs = [
         PeerStub(f"peer-{i}", "entry" if i < peers / 2 else "controller", port)
-        for i, port in enumerate(ports[2:])
+        for i, port in enumerate(ports)
     ]
     for stub in stubs:
         await stub.node.listen()
     engines = "".join(
         f'[[endpoint]]\nname = "e{i}"\nservice = "m"\n'
-        f'url = "http://127.0.0.1:{ports[0]}"\n'
+        f'url = "http://127.0.0.1:{engine_port}"\n'
         for i in range(ENGINES_PER_SIDECAR)
     )
-    addresses = ", ".join(f'"127.0.0.1:{port}"' for port in ports[2:])
-    engine = await _serve_load_reports(ports[0])
+    addresses = ", ".join(f'"127.0.0.1:{port}"' for port in ports)
+    engine = await _serve_load_reports(engine_port)
     settings = (
         f'process_id = "sidecar-1"\nzone = "zone-a"\npeers = [{addresses}]\n'
         f"{engines}"
     )
-    with program("shallotstand.sidecar.main", settings, folder) as process:
-        await asyncio.sleep(SETTLE_S)
-        connected = sum(bool(stub.node.peers_by_id) for stub in stubs)
-        before = sum(stub.traffic() for stub in stubs)
-        use = await use_over(process, SECONDS)
-        traffic = sum(stub.traffic() for stub in stubs) - before
+    program = await Program.start(
+        f"sidecar-{peers}", "shallotstand.sidecar.main", settings, folder
+    )
+    try:
+        point = await _measure_connected(program, stubs)
+    finally:
+        await program.stop()
     for stub in stubs:
         await stub.node.close()
     await engine.cleanup()
+    return {"peers": peers} | point
+
+
+async def _measure_connected(program: Program, stubs: list[PeerStub]) -> dict:
+    """Measures a program once its stubs have connected."""
+    await asyncio.sleep(SETTLE_S)
+    connected = sum(bool(stub.node.peers_by_id) for stub in stubs)
+    before = sum(stub.traffic() for stub in stubs)
+    use = await use_over(program.process.pid, SECONDS)
+    traffic = sum(stub.traffic() for stub in stubs) - before
     return {
-        "peers": peers,
         "connected": connected,
         "core_share": use.core_share,
         "resident_mb": use.resident_mb,
@@ -178,35 +189,31 @@
 
 async def measure_entry(folder: pathlib.Path, sidecars: int) -> dict:
     """Measures an entry with this many sidecars of eight engines each."""
-    listen, peer_listen = free_ports(2)
+    listen, peer_listen = free_address(), free_address()
     settings = (
         f'process_id = "entry-1"\nzone = "zone-a"\n'
-        f'listen = "127.0.0.1:{listen}"\n'
-        f'peer_listen = "127.0.0.1:{peer_listen}"\n'
-        f'entries = ["127.0.0.1:{peer_listen}"]\n'
+        f'listen = "{listen}"\n'
+        f'peer_listen = "{peer_listen}"\n'
+        f'entries = ["{peer_listen}"]\n'
         f'store_url = "http://127.0.0.1:9"\n'
     )
     stubs = [PeerStub(f"sidecar-{i}", "sidecar") for i in range(sidecars)]
-    with program("shallotstand.entry.main", settings, folder) as process:
-        await asyncio.sleep(SETTLE_S)
-        idle = await use_over(process, SETTLE_S)
-        for stub in stubs:
-            stub.node.dial("127.0.0.1", peer_listen)
-        await asyncio.sleep(SETTLE_S)
-        connected = sum(bool(stub.node.peers_by_id) for stub in stubs)
-        before = sum(stub.traffic() for stub in stubs)
-        use = await use_over(process, SECONDS)
-        traffic = sum(stub.traffic() for stub in stubs) - before
+    program = await Program.start(
+        f"entry-{sidecars}", "shallotstand.entry.main", settings, folder
+    )
+    try:
+        idle = await use_over(program.process.pid, SETTLE_S)
         for stub in stubs:
-            await stub.node.close()
+            stub.node.dial(*peer_listen)
+        point = await _measure_connected(program, stubs)
+    finally:
+        await program.stop()
+    for stub in stubs:
+        await stub.node.close()
     return {
         "sidecars": sidecars,
-        "connected": connected,
-        "core_share": use.core_share,
         "idle_core_share": idle.core_share,
-        "resident_mb": use.resident_mb,
-        "bytes_per_s": traffic / SECONDS,
-    }
+    } | point
 
 
 def _slope(points: list[dict], size: str, value: str) -> Slope:
--- a/measure/programs.py
+++ b/measure/use.py
@@ -1,18 +1,10 @@
-"""Starts programs for a measurement and reads what they use."""
+"""What a program uses, and the line through several measurements."""
 
 import asyncio
-import contextlib
-import pathlib
-import socket
-import subprocess
-import sys
-from collections.abc import Iterator
 from typing import NamedTuple
 
 import psutil
 
-_STOP_TIMEOUT_S = 10
-
 
 class Use(NamedTuple):
     """What a process used in a time.
@@ -26,47 +18,9 @@
     resident_mb: float
 
 
-def free_ports(count: int) -> list[int]:
-    """Returns ports of the loopback address that are free now."""
-    with contextlib.ExitStack() as stack:
-        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for probe in probes:
-            probe.bind(("127.0.0.1", 0))
-        return [probe.getsockname()[1] for probe in probes]
-
-
-@contextlib.contextmanager
-def program(
-    module: str, settings: str, folder: pathlib.Path
-) -> Iterator[psutil.Process]:
-    """Runs a program with settings until the context ends.
-
-    Args:
-      module: Module of the program, such as `shallotstand.sidecar.main`.
-      settings: Content of its TOML settings.
-      folder: Folder for settings and logs.
-    """
-    path = folder / f"{module}-{len(list(folder.iterdir()))}.toml"
-    path.write_text(settings, "utf-8")
-    with path.with_suffix(".log").open("wb") as log:
-        process = subprocess.Popen(
-            [sys.executable, "-m", module, "--settings", str(path)],
-            stdout=log,
-            stderr=log,
-        )
-        try:
-            yield psutil.Process(process.pid)
-        finally:
-            process.terminate()
-            try:
-                process.wait(_STOP_TIMEOUT_S)
-            except subprocess.TimeoutExpired:
-                process.kill()
-                process.wait()
-
-
-async def use_over(process: psutil.Process, seconds: float) -> Use:
+async def use_over(pid: int, seconds: float) -> Use:
     """Measures what a process uses from now on."""
+    process = psutil.Process(pid)
     before = process.cpu_times()
     loop = asyncio.get_running_loop()
     started = loop.time()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import json
-import socket
 
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.codes import ResultCode, is_not_run
@@ -15,13 +14,13 @@
 from shallotstand.link.node import Identity, Node
 from shallotstand.objects.types import Catalog, Endpoint, Service
 from shallotstand.serving.fingerprint import fingerprint
-from shallotstand.settings.options import Host
 from shallotstand.sidecar.endpoint import LocalEndpoint
 from shallotstand.sidecar.peers import PeerService
 from shallotstand.sidecar.runner import Runner
 from shallotstand.sidecar.settings import EndpointSettings
 from shallotstand.sidecar.usage_log import UsageLog
 from shallotstand.standins.object_store import StandinObjectStore
+from shallotstand.standins.processes import free_address
 
 POISON = "poison"
 
@@ -101,12 +100,6 @@
         pass
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 class Path:
     """Entries and sidecars, each with one engine."""
 
@@ -125,7 +118,7 @@
         self._tasks = []
 
     async def start(self, entries, engines):
-        hosts = [Host("127.0.0.1", free_port()) for _ in range(entries)]
+        hosts = [free_address() for _ in range(entries)]
         for number, host in enumerate(hosts):
             entry = Entry(
                 EntrySettings(
--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import random
-import socket
 
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.codes import ResultCode
@@ -36,6 +35,7 @@
 from shallotstand.sidecar.usage_log import UsageLog
 from shallotstand.standins.engine import EngineProfile, StandinEngine
 from shallotstand.standins.engine_http import make_engine_app
+from shallotstand.standins.processes import free_address
 
 CATALOG = Catalog.empty()._replace(
     revision=1,
@@ -61,17 +61,11 @@
 )
 
 
-def free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 async def run_path(check) -> None:
     """Starts engine, sidecar and entry parts, then runs the check."""
     engine = StandinEngine(EngineProfile(token_s=0.001))
-    app = make_engine_app(f"engine{free_port()}", "drafts", engine)
-    engine_port, peer_port = free_port(), free_port()
+    app = make_engine_app(f"engine{free_address().port}", "drafts", engine)
+    engine_port, peer_port = free_address().port, free_address().port
     http = await app.create_server(
         "127.0.0.1", engine_port, return_asyncio_server=True, access_log=False
     )
