Remove cache events from whole load reports and a setting without effect

Cause: since load samples carry the cache events, EndpointLoad's lists were always emptied before they were sent. The entry's setting interactive_first was checked and documented but read by nothing. Change: the endpoint keeps the events of its last report beside the report, so no copy without them is made; the fields, the setting and its row are gone. Nothing has been released, so the later field is renumbered.

--- a/apps/entry/src/shallotstand/entry/settings.py
+++ b/apps/entry/src/shallotstand/entry/settings.py
@@ -6,7 +6,6 @@
 from shallotstand.settings.options import (
     Address,
     Choice,
-    Flag,
     Host,
     Integer,
     ListOf,
@@ -60,9 +59,6 @@
         "metrics_listen": Address(
             "Address of the metrics endpoint; none if left out.", None
         ),
-        "interactive_first": Flag(
-            "Whether interactive requests go before rollouts.", True
-        ),
     }
 )
 
@@ -80,7 +76,6 @@
     max_body_bytes: int
     request_timeout_s: float
     shutdown_deadline_s: float
-    interactive_first: bool
     window_s: int = 300
     instances_url: str = ""
     metrics_listen: Host | None = None
--- a/apps/entry/tests/test_config_sync.py
+++ b/apps/entry/tests/test_config_sync.py
@@ -222,7 +222,7 @@
         listen, peers = (free_address() for _ in range(2))
         settings = EntrySettings(
             *("e", "z", "info", listen, peers, (peers,), "http://x"),
-            *(1024, 1.0, 1.0, True),
+            *(1024, 1.0, 1.0),
         )
         entry = Entry.from_config(settings, store)
         assert entry.gateway.refusal.code == Code.CONFIG_UNCONFIRMED
--- a/apps/sidecar/src/shallotstand/sidecar/endpoint.py
+++ b/apps/sidecar/src/shallotstand/sidecar/endpoint.py
@@ -36,6 +36,8 @@
       engine: Client of the endpoint.
       incarnation: Run of the engine, as it reported it.
       report: State for the entries.
+      added: Hashes that the last report says entered the prefix cache.
+      evicted: Hashes that it says left it.
     """
 
     def __init__(self, settings: EndpointSettings, engine: Engine):
@@ -45,6 +47,8 @@
         self.engine = engine
         self.incarnation = ""
         self.report = EndpointLoad(settings.name, state="lost")
+        self.added: tuple[int, ...] = ()
+        self.evicted: tuple[int, ...] = ()
         self._running_by_key: dict[tuple[str, int], Request] = {}
         self._suspect_running = False
         self._is_leaving = False
@@ -114,6 +118,7 @@
         return self._crash(before) if ended else None
 
     def _take_report(self, report: EngineLoad | Failure) -> bool:
+        self.added = self.evicted = ()
         if isinstance(report, Failure):
             ended = self.report.state != "lost"
             self.report = EndpointLoad(
@@ -123,6 +128,7 @@
         restarted = self.incarnation not in ("", report.incarnation)
         ended = restarted and self.report.state != "lost"
         self.incarnation = report.incarnation
+        self.added, self.evicted = report.added, report.evicted
         self.report = EndpointLoad(
             name=self.name,
             running=report.running,
@@ -131,8 +137,6 @@
             free_blocks=report.free_blocks,
             version=report.version,
             state="leaving" if self._is_leaving else "live",
-            added=report.added,
-            evicted=report.evicted,
             incarnation=report.incarnation,
         )
         return ended
@@ -141,9 +145,7 @@
         """Reports the endpoint as leaving from now on, unless it is lost."""
         self._is_leaving = True
         if self.report.state == "live":
-            self.report = self.report._replace(
-                state="leaving", added=(), evicted=()
-            )
+            self.report = self.report._replace(state="leaving")
 
     async def watch(self, on_report) -> None:
         """Asks the engine for its load until cancelled.
--- a/apps/sidecar/src/shallotstand/sidecar/load_reporter.py
+++ b/apps/sidecar/src/shallotstand/sidecar/load_reporter.py
@@ -57,8 +57,8 @@
         elif _numbers(told) != _numbers(report):
             self._changed.add(endpoint.name)
         index = self._index_by_name[endpoint.name]
-        self._added.extend((index, block) for block in report.added)
-        self._evicted.extend((index, block) for block in report.evicted)
+        self._added.extend((index, block) for block in endpoint.added)
+        self._evicted.extend((index, block) for block in endpoint.evicted)
         if crash is not None:
             self.node.broadcast(crash, "entry", "controller")
 
@@ -67,7 +67,7 @@
         for endpoint in endpoints:
             self._told_by_name[endpoint.name] = endpoint.report
             self._changed.discard(endpoint.name)
-        reports = tuple(_without_events(e.report) for e in endpoints)
+        reports = tuple(e.report for e in endpoints)
         # Controllers show state and version only, so they get no samples.
         self.node.broadcast(Load(reports), "entry", "controller")
 
@@ -100,8 +100,7 @@
 
     def _reports(self) -> tuple[EndpointLoad, ...]:
         return tuple(
-            _without_events(endpoint.report)
-            for endpoint in self._endpoints_by_name.values()
+            endpoint.report for endpoint in self._endpoints_by_name.values()
         )
 
 
@@ -111,7 +110,3 @@
 
 def _numbers(report: EndpointLoad) -> tuple[int, int, int]:
     return report.running, report.queued, report.free_blocks
-
-
-def _without_events(report: EndpointLoad) -> EndpointLoad:
-    return report._replace(added=(), evicted=())
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -110,9 +110,7 @@
   freeBlocks @4 :UInt32;
   version @5 :Text;
   state @6 :Text;
-  added @7 :List(UInt64);
-  evicted @8 :List(UInt64);
-  incarnation @9 :Text;
+  incarnation @7 :Text;
 }
 
 struct Load {
--- a/libs/link/src/shallotstand/link/messages.py
+++ b/libs/link/src/shallotstand/link/messages.py
@@ -212,8 +212,6 @@
       free_blocks: Free blocks of the engine's KV cache.
       version: Weight version in force; empty while unknown.
       state: `live`, `leaving` or `lost`.
-      added: Hashes of prompt blocks that entered the prefix cache.
-      evicted: Hashes of prompt blocks that left it.
       incarnation: Run of the engine; empty while unknown.
     """
 
@@ -224,8 +222,6 @@
     free_blocks: int = 0
     version: str = ""
     state: str = "live"
-    added: tuple[int, ...] = ()
-    evicted: tuple[int, ...] = ()
     incarnation: str = ""
 
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -132,7 +132,6 @@
                     1 << 20,
                     15,
                     660,
-                    True,
                 ),
                 StandinObjectStore(),
             )
