Peers, takeovers, kept connections and fewer watches on the gateways

Change: gateways tell each other over links that they live and what they run; the first that works takes a lost gateway's batches over. Repeatable calls use kept connections; keepers follow objects only while they hold the lease.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -36,7 +36,14 @@
 from shallotstand.documents.follower import Follower
 from shallotstand.documents.protocols import Change
 from shallotstand.duties.usage_counts import UsageWriter
-from shallotstand.gateway.ownership import FirstOwner
+from shallotstand.gateway.ownership import MeshOwnership
+from shallotstand.link.messages import EndpointUse, Presence
+from shallotstand.peers.mesh import PeerMesh
+from shallotstand.peers.registry import (
+    GATEWAYS_KIND,
+    PeerAddress,
+    PeerRegistry,
+)
 
 # Changes of endpoints that come within this time cost one call; an endpoint
 # that leaves has to be left alone within two seconds.
@@ -46,6 +53,9 @@
 UNLISTED_S = 3.0
 # Reserve before the platform kills the process.
 EXIT_RESERVE_S = 0.7
+# The configuration's watch asks again this often, so that a store that went
+# silent is noticed; the other watches are restarted when it is.
+CANARY_WAIT_S = 2.0
 # A process that has not heard of the store for this long says it isn't ready.
 STORE_SILENCE_S = 2.0
 EXIT_SETTINGS = 2
@@ -82,11 +92,24 @@
             lambda: self._desk.configuration,
             clock,
         )
+        own = PeerAddress(
+            boot.node,
+            process_id,
+            boot.internal_host,
+            boot.internal_ports[0],
+        )
+        self._registry = PeerRegistry(self._store, own)
+        self._mesh = PeerMesh(own, self._registry, self._presence, clock)
+        self._endpoints.count_peers(self._mesh.running_by_endpoint)
         self._runner = BatchRunner(
-            tools, self._batches, log, FirstOwner(process_id)
+            tools, self._batches, log, MeshOwnership(process_id, self._mesh)
         )
         self._config_follower = Follower(
-            self._store, names.CONFIG_KIND, self._take_config, clock
+            self._store,
+            names.CONFIG_KIND,
+            self._take_config,
+            clock,
+            wait_s=CANARY_WAIT_S,
         )
         self._endpoint_follower = Follower(
             self._store,
@@ -102,7 +125,10 @@
             self._config_follower,
             self._endpoint_follower,
             self._batch_follower,
+            Follower(self._store, GATEWAYS_KIND, self._registry.take, clock),
         )
+        for follower in self._followers[1:]:
+            self._config_follower.subscribe(follower.restart_call)
         self._activity = Activity()
         self._front = Front(
             FrontParts(
@@ -146,7 +172,12 @@
         await self._batch_follower.wait_synced()
         tasks += [
             asyncio.create_task(run())
-            for run in (self._runner.run, self._usage_writer.run)
+            for run in (
+                self._registry.register,
+                self._mesh.run,
+                self._runner.run,
+                self._usage_writer.run,
+            )
         ]
         await stopping.wait()
         await self._drain(front_server)
@@ -162,6 +193,7 @@
         started = self._clock.monotonic()
         self._front.is_draining = True
         logs.event(logging.INFO, "Stopping", in_progress=self._activity.count)
+        self._mesh.tell_now()
         await self._runner.stop()
         await self._usage_writer.write(self._meter.current_window(), True)
         await asyncio.sleep(
@@ -175,14 +207,22 @@
     def _is_ready(self) -> bool:
         if self._front.is_draining:
             return False
-        now = self._clock.monotonic()
-        return all(
-            follower.is_synced
-            and (
-                follower.failing_since is None
-                or now - follower.failing_since < STORE_SILENCE_S
-            )
-            for follower in self._followers
+        failing_since = self._config_follower.failing_since
+        if failing_since is not None and (
+            self._clock.monotonic() - failing_since > STORE_SILENCE_S
+        ):
+            return False
+        return all(follower.is_synced for follower in self._followers)
+
+    def _presence(self) -> Presence:
+        return Presence(
+            self._boot.node,
+            self._process_id,
+            self._is_ready(),
+            tuple(
+                EndpointUse(endpoint, running)
+                for endpoint, running in self._endpoints.running_by_id().items()
+            ),
         )
 
     def _take_config(self, change: Change) -> None:
--- a/apps/keeper/src/shallotstand/keeper/main.py
+++ b/apps/keeper/src/shallotstand/keeper/main.py
@@ -27,6 +27,8 @@
 
 # Changes of endpoints that come within this time cost one call.
 ENDPOINTS_PAUSE_S = 0.2
+# How often a keeper looks whether it has come to hold the lease.
+FOLLOW_LOOK_S = 0.2
 EXIT_SETTINGS = 2
 
 
@@ -88,7 +90,7 @@
         tasks = [
             asyncio.create_task(run())
             for run in (
-                *(follower.run for follower in self._followers),
+                self._follow_while_holding,
                 self._lease.run,
                 self._orders.run,
                 self._retirements.run,
@@ -106,6 +108,25 @@
         await self._store.close()
         logs.event(logging.INFO, "Stopped")
 
+    async def _follow_while_holding(self) -> None:
+        """Follows the store's objects only while it has duties to carry."""
+        tasks: list[asyncio.Task] = []
+        try:
+            while True:
+                if self._lease.is_held and not tasks:
+                    tasks = [
+                        asyncio.create_task(follower.run())
+                        for follower in self._followers
+                    ]
+                elif not self._lease.is_held:
+                    for task in tasks:
+                        task.cancel()
+                    tasks = []
+                await asyncio.sleep(FOLLOW_LOOK_S)
+        finally:
+            for task in tasks:
+                task.cancel()
+
     def _take_endpoint(self, change: Change) -> None:
         take_endpoint(
             self._endpoints, self._endpoint_follower, change, self._clock
--- a/libs/batches/src/shallotstand/batches/book.py
+++ b/libs/batches/src/shallotstand/batches/book.py
@@ -29,6 +29,8 @@
       listed: Identifiers of the items that are listed.
       entries: Entries of results applied so far.
       is_ended: Whether its end was acknowledged.
+      confirmed_at: Monotonic time in seconds at which the store said that
+        there was nothing more.
     """
 
     def __init__(self, submission: Submission):
@@ -38,6 +40,7 @@
         self.listed: set[str] = set()
         self.entries = 0
         self.is_ended = False
+        self.confirmed_at = float("-inf")
         self._pending_by_number: dict[int, ResultGroup] = {}
         self._changed = asyncio.Event()
 
--- a/libs/batches/src/shallotstand/batches/item_run.py
+++ b/libs/batches/src/shallotstand/batches/item_run.py
@@ -138,9 +138,13 @@
     ) -> Failure | _Refused | None:
         """Runs the item at an engine; None once its text is complete."""
         count = len(self.progress.events)
-        stream = await self._tools.client.open_stream(
-            endpoint, self._call(count), ATTEMPT_S
-        )
+        try:
+            async with asyncio.timeout(FIRST_EVENT_S):
+                stream = await self._tools.client.open_stream(
+                    endpoint, self._call(count), ATTEMPT_S
+                )
+        except TimeoutError:
+            return Failure(ResultCode.ENDPOINT_TIMEOUT, "The run never began.")
         if isinstance(stream, Failure):
             return stream
         try:
@@ -254,6 +258,7 @@
                     scorer.body,
                     scorer.id,
                     None,
+                    may_repeat=True,
                 ),
                 self._tools.clock.monotonic(),
                 route.timeout_s,
@@ -280,7 +285,8 @@
             self._item.body,
             self._item.id,
             self._submission.account,
-            count or None,
+            may_repeat=True,
+            last_event_id=count or None,
         )
 
     def _lost(self, reason: str) -> Result:
--- a/libs/batches/src/shallotstand/batches/log.py
+++ b/libs/batches/src/shallotstand/batches/log.py
@@ -120,12 +120,14 @@
 
     async def catch_up(self, batch: Batch) -> Failure | None:
         """Reads the entries of a batch that this process has not heard of."""
+        started = self._clock.monotonic()
         while not batch.is_complete:
             document = await self._store.get(
                 LOG_KIND, entry_name(batch.id, batch.entries + 1)
             )
             if isinstance(document, Failure):
                 if document.code == ResultCode.OBJECT_NOT_FOUND:
+                    batch.confirmed_at = started
                     return None
                 return document
             self._book.apply(document)
--- a/libs/batches/src/shallotstand/batches/runner.py
+++ b/libs/batches/src/shallotstand/batches/runner.py
@@ -105,14 +105,26 @@
     async def _run_batch(self, batch: Batch) -> None:
         finished: asyncio.Queue[Result] = asyncio.Queue()
         async with asyncio.TaskGroup() as group:
-            for item in batch.unlisted():
-                group.create_task(self._run_item(batch, item, finished))
-            await self._list_results(batch, finished)
+            tasks_by_item = {
+                item.id: group.create_task(
+                    self._run_item(batch, item, finished)
+                )
+                for item in batch.unlisted()
+            }
+            lister = group.create_task(self._list_results(batch, finished))
+            while batch.is_open:
+                await batch.wait_change(REVIEW_S)
+                # Another process that runs the batch may list items, too.
+                for item_id in batch.listed & tasks_by_item.keys():
+                    tasks_by_item.pop(item_id).cancel()
+            lister.cancel()
+            for task in tasks_by_item.values():
+                task.cancel()
 
     async def _list_results(
         self, batch: Batch, finished: asyncio.Queue[Result]
     ) -> None:
-        while batch.is_open:
+        while True:
             results = [await finished.get()]
             await asyncio.sleep(LISTING_PAUSE_S)
             while not finished.empty():
--- a/libs/batches/src/shallotstand/batches/service.py
+++ b/libs/batches/src/shallotstand/batches/service.py
@@ -14,6 +14,10 @@
 # A page of results is at most this large; the rest follows with the next read.
 MAX_PAGE_BYTES = 900_000
 
+# A position that was read at one process has to be readable at all within a
+# second; the store is asked again after less than that.
+CONFIRM_S = 0.6
+
 
 class Page(NamedTuple):
     """Results from some position on.
@@ -89,7 +93,12 @@
             return batch
         if position >= len(batch.results) and not batch.is_complete:
             await batch.wait_change(wait_s)
-        if position >= len(batch.results) and not batch.is_complete:
+        now = self._clock.monotonic()
+        if (
+            position >= len(batch.results)
+            and not batch.is_complete
+            and now - batch.confirmed_at > CONFIRM_S
+        ):
             failure = await self._log.catch_up(batch)
             if failure is not None:
                 return failure
--- a/libs/dispatch/src/shallotstand/dispatch/desk.py
+++ b/libs/dispatch/src/shallotstand/dispatch/desk.py
@@ -107,7 +107,7 @@
         route = admitted.route
         served = await self._plain.serve(
             route,
-            call_for(request, admitted.account_name),
+            call_for(request, route, admitted.account_name),
             self._clock.monotonic(),
             _budget_s(request, route),
         )
@@ -124,7 +124,7 @@
             self._client,
             self._clock,
             admitted.route,
-            call_for(request, admitted.account_name),
+            call_for(request, admitted.route, admitted.account_name),
             self._clock.monotonic() + _budget_s(request, admitted.route),
         )
         failure = await stream.open()
--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -15,8 +15,10 @@
 # further failure in a row; crashed engines are back after some seconds.
 FIRST_PENALTY_S = 0.4
 LAST_PENALTY_S = 3.0
-# An engine that loads weights refuses requests for the model meanwhile.
-REFUSAL_PENALTY_S = 0.15
+# An engine that loads weights refuses requests for about a second; a full one
+# has room again soon. The pause doubles with each refusal in a row.
+FIRST_REFUSAL_S = 0.1
+LAST_REFUSAL_S = 0.5
 # Weight of the newest measurement in an endpoint's pace.
 PACE_SMOOTHING = 0.3
 
@@ -51,6 +53,7 @@
     def __init__(self) -> None:
         self.in_flight = 0
         self.failures = 0
+        self.refusals = 0
         self.closed_until = 0.0
         self.pace: float | None = None
         self.version_by_model: dict[str, int] = {}
@@ -71,8 +74,21 @@
             _Health
         )
         self._lapses_by_id: dict[str, float] = {}
+        self._peers_running: Callable[[], dict[str, int]] = dict
         self.by_id: dict[str, Endpoint] = {}
 
+    def count_peers(self, running: Callable[[], dict[str, int]]) -> None:
+        """Takes the source of what peers run, by endpoint."""
+        self._peers_running = running
+
+    def running_by_id(self) -> dict[str, int]:
+        """Returns the requests that this process runs, by endpoint."""
+        return {
+            endpoint_id: health.in_flight
+            for endpoint_id, health in self._health_by_id.items()
+            if health.in_flight
+        }
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Calls the listener whenever an endpoint may have become usable."""
         self._listeners.append(listener)
@@ -133,8 +149,8 @@
         return any(True for _ in self._of_service(service))
 
     def free_slots(self, endpoint: Endpoint) -> int:
-        """Returns the slots that this process leaves free."""
-        return endpoint.slots - self._health_by_id[endpoint.id].in_flight
+        """Returns the slots that this process and its peers leave free."""
+        return endpoint.slots - self._load(endpoint)
 
     def is_open(self, endpoint_id: str) -> bool:
         """Says whether the endpoint is not in a pause after failures."""
@@ -156,7 +172,7 @@
         health = self._health_by_id[endpoint.id]
         pace = health.pace if health.pace is not None else self._mean_pace()
         nearness = 1.0 if endpoint.zone == self._zone else 1.1
-        return (health.in_flight + 1) / endpoint.slots * pace * nearness
+        return (self._load(endpoint) + 1) / endpoint.slots * pace * nearness
 
     def version(self, endpoint: Endpoint, model: str) -> int:
         """Returns the newest version of a model known at an endpoint."""
@@ -182,7 +198,7 @@
           pace: Seconds for a unit of work, comparable within a service.
         """
         health = self._health_by_id[endpoint.id]
-        health.failures = 0
+        health.failures = health.refusals = 0
         health.closed_until = 0.0
         known = pace if health.pace is None else health.pace
         health.pace = known + PACE_SMOOTHING * (pace - known)
@@ -194,8 +210,10 @@
     def note_refusal(self, endpoint: Endpoint) -> None:
         """Notes that an endpoint refused a request without running it."""
         health = self._health_by_id[endpoint.id]
+        pause_s = min(LAST_REFUSAL_S, FIRST_REFUSAL_S * 2**health.refusals)
+        health.refusals += 1
         health.closed_until = max(
-            health.closed_until, self._clock.monotonic() + REFUSAL_PENALTY_S
+            health.closed_until, self._clock.monotonic() + pause_s
         )
 
     def note_failure(self, endpoint: Endpoint, reason: str) -> None:
@@ -236,6 +254,10 @@
             self._health_by_id.pop(endpoint_id, None)
         logs.event(logging.INFO, "Endpoint gone", endpoint=endpoint_id)
 
+    def _load(self, endpoint: Endpoint) -> int:
+        own = self._health_by_id[endpoint.id].in_flight
+        return own + self._peers_running().get(endpoint.id, 0)
+
     def _mean_pace(self) -> float:
         paces = [
             health.pace
--- a/libs/dispatch/src/shallotstand/dispatch/exchange.py
+++ b/libs/dispatch/src/shallotstand/dispatch/exchange.py
@@ -47,6 +47,7 @@
       body: Content.
       request_id: Identifier that the endpoint echoes.
       account: Client account for which it runs; None if for none.
+      may_repeat: Whether it may run more than once.
       last_event_id: Event after which a stream goes on.
     """
 
@@ -57,6 +58,7 @@
     body: bytes
     request_id: str
     account: str | None
+    may_repeat: bool
     last_event_id: int | None = None
 
 
--- a/libs/dispatch/src/shallotstand/dispatch/plain.py
+++ b/libs/dispatch/src/shallotstand/dispatch/plain.py
@@ -112,7 +112,7 @@
         )[0]
 
 
-def call_for(request: CallerRequest, account: str | None) -> Call:
+def call_for(request: CallerRequest, route: Route, account: str | None) -> Call:
     """Returns what an endpoint is sent for a caller's request."""
     return Call(
         request.method,
@@ -122,6 +122,7 @@
         request.body,
         request.request_id,
         account,
+        route.is_repeatable,
         request.last_event_id,
     )
 
--- a/libs/documents/src/shallotstand/documents/follower.py
+++ b/libs/documents/src/shallotstand/documents/follower.py
@@ -10,9 +10,8 @@
 from shallotstand.core.failure import Failure
 from shallotstand.documents.protocols import Change, Document, DocumentStore
 
-# A watch that hears nothing asks again after this; it bounds how long a
-# connection that went silent without a reset can go unnoticed.
-WATCH_WAIT_S = 10.0
+# A watch that hears nothing asks again after this.
+WATCH_WAIT_S = 20.0
 # Repeats after a failure; an outage of the store lasts seconds, and each call
 # is billed.
 FIRST_RETRY_S = 0.15
@@ -27,6 +26,7 @@
       confirmed_at: Monotonic time in seconds of the store's last answer.
       failing_since: Monotonic time in seconds of the first of the failures
         since then; None if the last call succeeded.
+      regained_at: Monotonic time in seconds at which the last failures ended.
     """
 
     def __init__(
@@ -36,6 +36,7 @@
         take: Callable[[Change], None],
         clock: Clock,
         pause_s: float = 0.0,
+        wait_s: float = WATCH_WAIT_S,
     ):
         """Makes a follower.
 
@@ -46,17 +47,24 @@
           clock: Source of time.
           pause_s: Seconds between watches, so that changes that come close
             together cost one call.
+          wait_s: Seconds after which a watch that hears nothing asks again;
+            it bounds how long a connection that went silent without a reset
+            can go unnoticed.
         """
         self._store = store
         self._kind = kind
         self._take = take
         self._clock = clock
         self._pause_s = pause_s
+        self._wait_s = wait_s
+        self._listeners: list[Callable[[], None]] = []
+        self._call: asyncio.Task | None = None
         self._revision: int | None = None
         self._documents_by_name: dict[str, Document] = {}
         self._synced = asyncio.Event()
         self.confirmed_at = clock.monotonic()
         self.failing_since: float | None = None
+        self.regained_at = float("-inf")
 
     @property
     def is_synced(self) -> bool:
@@ -67,11 +75,20 @@
         """Waits until the copy is complete."""
         await self._synced.wait()
 
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Calls the listener when the store is lost and when it is back."""
+        self._listeners.append(listener)
+
+    def restart_call(self) -> None:
+        """Gives up the call that waits, which may hang, and calls anew."""
+        if self._call is not None:
+            self._call.cancel()
+
     async def run(self) -> None:
         """Follows the kind until cancelled."""
         retry_s = FIRST_RETRY_S
         while True:
-            failure = await self._step()
+            failure = await self._guarded_step()
             if failure is None:
                 retry_s = FIRST_RETRY_S
                 await asyncio.sleep(self._pause_s)
@@ -79,6 +96,15 @@
             await asyncio.sleep(retry_s)
             retry_s = min(LAST_RETRY_S, retry_s * 2)
 
+    async def _guarded_step(self) -> Failure | None:
+        self._call = asyncio.create_task(self._step())
+        try:
+            await asyncio.wait((self._call,))
+        except asyncio.CancelledError:
+            self._call.cancel()
+            raise
+        return None if self._call.cancelled() else self._call.result()
+
     async def _step(self) -> Failure | None:
         if self._revision is None:
             outcome = await self._list()
@@ -117,7 +143,7 @@
         return None
 
     async def _watch(self, revision: int) -> Failure | None:
-        changes = await self._store.watch(self._kind, revision, WATCH_WAIT_S)
+        changes = await self._store.watch(self._kind, revision, self._wait_s)
         if isinstance(changes, Failure):
             return changes
         for change in changes.changes:
@@ -148,6 +174,7 @@
             code=int(failure.code),
             reason=failure.reason,
         )
+        self._notify()
 
     def _note_success(self) -> None:
         now = self._clock.monotonic()
@@ -161,6 +188,12 @@
             after_s=round(now - self.failing_since, 3),
         )
         self.failing_since = None
+        self.regained_at = now
+        self._notify()
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
 
 
 def _by_revision(document: Document) -> int:
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -237,6 +237,18 @@
   endpoints @0 :List(Text);
 }
 
+struct EndpointUse {
+  endpoint @0 :Text;
+  running @1 :UInt16;
+}
+
+struct Presence {
+  node @0 :Text;
+  processId @1 :Text;
+  reachesStore @2 :Bool;
+  uses @3 :List(EndpointUse);
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -262,5 +274,6 @@
     sampleRelease @20 :SampleRelease;
     loadSamples @21 :LoadSamples;
     suspicion @22 :Suspicion;
+    presence @23 :Presence;
   }
 }
--- a/libs/link/src/shallotstand/link/messages.py
+++ b/libs/link/src/shallotstand/link/messages.py
@@ -465,6 +465,29 @@
     endpoints: tuple[str, ...]
 
 
+class EndpointUse(NamedTuple):
+    """Requests that a process runs at an endpoint."""
+
+    endpoint: str
+    running: int
+
+
+class Presence(NamedTuple):
+    """What a gateway tells its peers of itself.
+
+    Attributes:
+      node: Name of its machine.
+      process_id: Identifier of the process; new at each start.
+      reaches_store: Whether it can write to the store and takes work.
+      uses: What it runs, by endpoint.
+    """
+
+    node: str
+    process_id: str
+    reaches_store: bool
+    uses: tuple[EndpointUse, ...]
+
+
 Message: TypeAlias = (
     Hello
     | Ping
@@ -489,4 +512,5 @@
     | SampleRelease
     | LoadSamples
     | Suspicion
+    | Presence
 )
--- /dev/null
+++ b/libs/peers/src/shallotstand/peers/mesh.py
@@ -0,0 +1,235 @@
+"""Connections between the gateways, and what they tell of themselves."""
+
+import asyncio
+import collections
+import hashlib
+from collections.abc import Callable
+
+from absl import logging
+from shallotstand.core import logs
+from shallotstand.core.clock import Clock
+from shallotstand.core.failure import Failure
+from shallotstand.link.link import Link
+from shallotstand.link.messages import Presence
+from shallotstand.peers.registry import PeerAddress, PeerRegistry
+
+# How often a process tells its peers of itself.
+PRESENCE_S = 0.4
+# A peer that told nothing for this long counts as gone; four intervals.
+SILENCE_S = 1.6
+# A connection that broke is made anew before the peer counts as gone, since
+# connections are reset more often than processes die.
+RECONNECT_GRACE_S = 0.6
+REDIAL_S = 0.25
+DIAL_TIMEOUT_S = 0.8
+# A process that just started waits this long for its peers to report.
+SETTLE_S = 1.5
+# A machine whose process never answered for this long is taken from the
+# registry.
+FORGET_S = 90.0
+
+
+class _PeerState:
+    """What is known of one machine's process."""
+
+    def __init__(self, now: float) -> None:
+        self.presence: Presence | None = None
+        self.heard_at = 0.0
+        self.broken_at = now
+        self.is_connected = False
+        self.first_seen = now
+
+
+class PeerMesh:
+    """Connections to all other gateways.
+
+    Of two processes the one with the smaller machine name dials.
+    """
+
+    def __init__(
+        self,
+        own: PeerAddress,
+        registry: PeerRegistry,
+        describe: Callable[[], Presence],
+        clock: Clock,
+    ):
+        """Makes a mesh.
+
+        Args:
+          own: This process.
+          registry: The other processes.
+          describe: Returns what this process tells its peers.
+          clock: Source of time.
+        """
+        self._own = own
+        self._registry = registry
+        self._describe = describe
+        self._clock = clock
+        self._started_at = clock.monotonic()
+        self._states_by_node: dict[str, _PeerState] = {}
+        self._dials_by_node: dict[str, asyncio.Task] = {}
+        self._links: set[Link] = set()
+        self._server: asyncio.Server | None = None
+
+    async def run(self) -> None:
+        """Listens, dials, and tells the peers of itself until cancelled."""
+        self._server = await asyncio.start_server(
+            self._accept, self._own.host, self._own.port
+        )
+        try:
+            while True:
+                self._dial_missing()
+                self._tell()
+                await asyncio.sleep(PRESENCE_S)
+        finally:
+            self._server.close()
+            for task in self._dials_by_node.values():
+                task.cancel()
+
+    def tell_now(self) -> None:
+        """Tells all peers of a change at once."""
+        self._tell()
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the peers that live have had time to report."""
+        return self._clock.monotonic() - self._started_at > SETTLE_S
+
+    def is_working(self, process_id: str) -> bool:
+        """Says whether a process lives and can write to the store."""
+        return any(
+            state.presence is not None
+            and state.presence.process_id == process_id
+            and state.presence.reaches_store
+            and self._is_alive(state)
+            for state in self._states_by_node.values()
+        )
+
+    def first_for(self, name: str) -> str:
+        """Returns the working process that comes first for some work.
+
+        All processes that know the same peers return the same one.
+        """
+        working = [
+            state.presence.process_id
+            for state in self._states_by_node.values()
+            if state.presence is not None
+            and state.presence.reaches_store
+            and self._is_alive(state)
+        ]
+        if self._describe().reaches_store:
+            working.append(self._own.process_id)
+        return max(
+            working,
+            key=lambda process_id: _weight(name, process_id),
+            default="",
+        )
+
+    def running_by_endpoint(self) -> dict[str, int]:
+        """Returns the requests that peers run, by endpoint."""
+        running = collections.Counter()
+        for state in self._states_by_node.values():
+            if state.presence is not None and self._is_alive(state):
+                for use in state.presence.uses:
+                    running[use.endpoint] += use.running
+        return running
+
+    def _is_alive(self, state: _PeerState) -> bool:
+        now = self._clock.monotonic()
+        if state.is_connected:
+            return now - state.heard_at < SILENCE_S
+        return now - state.broken_at < RECONNECT_GRACE_S
+
+    def _tell(self) -> None:
+        presence = self._describe()
+        for link in self._links:
+            link.send(presence)
+
+    def _dial_missing(self) -> None:
+        for node, address in list(self._registry.by_node.items()):
+            state = self._state(node)
+            self._forget_if_gone(node, state)
+            task = self._dials_by_node.get(node)
+            if node < self._own.node or (task and not task.done()):
+                continue
+            self._dials_by_node[node] = asyncio.create_task(self._dial(address))
+
+    async def _dial(self, address: PeerAddress) -> None:
+        link = await Link.connect(address.host, address.port, DIAL_TIMEOUT_S)
+        if isinstance(link, Failure):
+            await asyncio.sleep(REDIAL_S)
+            return
+        await self._serve(link)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await self._serve(Link(reader, writer))
+
+    async def _serve(self, link: Link) -> None:
+        """Reads one connection until it ends."""
+        node = ""
+        self._links.add(link)
+        link.limit_unacknowledged(SILENCE_S)
+        link.send(self._describe())
+        try:
+            async for message in link.messages():
+                if isinstance(message, Presence):
+                    node = message.node
+                    self._hear(message)
+        finally:
+            self._links.discard(link)
+            if node:
+                self._break(node)
+            await link.close()
+
+    def _hear(self, presence: Presence) -> None:
+        state = self._state(presence.node)
+        now = self._clock.monotonic()
+        known = state.presence
+        if not state.is_connected or (
+            known is not None and known.process_id != presence.process_id
+        ):
+            logs.event(
+                logging.INFO,
+                "Peer connected",
+                peer=presence.process_id,
+                after_s=round(now - state.broken_at, 3),
+            )
+        state.is_connected = True
+        state.heard_at = now
+        if known is not None and known.reaches_store != presence.reaches_store:
+            logs.event(
+                logging.INFO,
+                "Peer regained the store"
+                if presence.reaches_store
+                else "Peer lost the store",
+                peer=presence.process_id,
+            )
+        state.presence = presence
+
+    def _break(self, node: str) -> None:
+        state = self._state(node)
+        state.is_connected = False
+        state.broken_at = self._clock.monotonic()
+        logs.event(logging.INFO, "Peer connection ended", peer=node)
+
+    def _forget_if_gone(self, node: str, state: _PeerState) -> None:
+        last = max(state.heard_at, state.first_seen)
+        if self._clock.monotonic() - last < FORGET_S:
+            return
+        logs.event(logging.INFO, "Peer forgotten", peer=node)
+        self._registry.by_node.pop(node, None)
+        self._states_by_node.pop(node, None)
+
+    def _state(self, node: str) -> _PeerState:
+        if node not in self._states_by_node:
+            self._states_by_node[node] = _PeerState(self._clock.monotonic())
+        return self._states_by_node[node]
+
+
+def _weight(name: str, process_id: str) -> bytes:
+    """Returns a rank for rendezvous hashing."""
+    return hashlib.blake2b(
+        f"{name}/{process_id}".encode(), digest_size=8
+    ).digest()
