Drop kept texts whose versions a batch does not allow

Change: the check comes before the text's completeness. Also: a process takes what an earlier process of its own machine held at once.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -101,9 +101,8 @@
         self._registry = PeerRegistry(self._store, own)
         self._mesh = PeerMesh(own, self._registry, self._presence, clock)
         self._endpoints.count_peers(self._mesh.running_by_endpoint)
-        self._runner = BatchRunner(
-            tools, self._batches, log, MeshOwnership(process_id, self._mesh)
-        )
+        ownership = MeshOwnership(process_id, boot.node, self._mesh)
+        self._runner = BatchRunner(tools, self._batches, log, ownership)
         self._config_follower = Follower(
             self._store,
             names.CONFIG_KIND,
--- a/apps/gateway/src/shallotstand/gateway/ownership.py
+++ b/apps/gateway/src/shallotstand/gateway/ownership.py
@@ -9,8 +9,16 @@
 class MeshOwnership:
     """A batch runs where it was accepted, or else at the first that works."""
 
-    def __init__(self, process_id: str, mesh: PeerMesh):
+    def __init__(self, process_id: str, node: str, mesh: PeerMesh):
+        """Makes the decision for one process.
+
+        Args:
+          process_id: The process; begins with the name of its machine.
+          node: Name of its machine.
+          mesh: What is known of the other processes.
+        """
         self._process_id = process_id
+        self._node = node
         self._mesh = mesh
 
     def is_mine(self, batch: Batch) -> bool:
@@ -18,11 +26,19 @@
         owner = batch.submission.owner
         if owner == self._process_id:
             return True
-        if not self._mesh.is_settled or self._mesh.is_working(owner):
-            return False
-        if self._mesh.first_for(batch.id) != self._process_id:
+        if not self._is_left_to_me(batch.id, owner):
             return False
         logs.event(
             logging.INFO, "Batch taken over", batch=batch.id, owner=owner
         )
         return True
+
+    def _is_left_to_me(self, batch_id: str, owner: str) -> bool:
+        if owner.rpartition(".")[0] == self._node:
+            # An earlier process of this machine; it can't be running.
+            return True
+        return (
+            self._mesh.is_settled
+            and not self._mesh.is_working(owner)
+            and self._mesh.first_for(batch_id) == self._process_id
+        )
--- a/apps/keeper/src/shallotstand/keeper/main.py
+++ b/apps/keeper/src/shallotstand/keeper/main.py
@@ -41,7 +41,7 @@
         self._store = PlatformStore(boot.store)
         self._client = EngineClient(boot.node)
         self._sink = CloudUsageSink(boot.cloud, boot.node)
-        self._lease = DutyLease(self._store, process_id, clock)
+        self._lease = DutyLease(self._store, process_id, boot.node, clock)
         self._endpoints = EndpointBook(boot.zone, clock)
         self._orders = WeightOrders(
             self._endpoints, self._client, self._lease, clock
--- a/libs/batches/src/shallotstand/batches/item_run.py
+++ b/libs/batches/src/shallotstand/batches/item_run.py
@@ -106,24 +106,14 @@
         )
 
     async def _generate(self) -> Result | None:
+        route = await self._route()
+        if not self.progress.fits(
+            self._submission.min_version, route.is_single_version
+        ):
+            self.progress.clear()
         while not self.progress.is_whole:
-            route = self._route()
-            if isinstance(route, Failure):
-                await asyncio.sleep(ROUTE_RETRY_S)
-                continue
-            if not self.progress.fits(
-                self._submission.min_version, route.is_single_version
-            ):
-                self.progress.clear()
-            endpoint = await self._tools.pool.acquire(
-                Need(
-                    route.targets[0].service,
-                    self._item.model,
-                    self._submission.min_version,
-                    self._rank,
-                    self._avoided,
-                )
-            )
+            route = await self._route()
+            endpoint = await self._tools.pool.acquire(self._need(route))
             try:
                 outcome = await self._attempt(endpoint, route)
             finally:
@@ -271,9 +261,23 @@
                 return self._lost("the scorer failed")
             await asyncio.sleep(SCORE_RETRY_S)
 
-    def _route(self) -> Route | Failure:
-        return self._tools.configuration().match(
-            self._submission.host, self._item.target
+    async def _route(self) -> Route:
+        """Returns the item's route, once one is in force."""
+        while True:
+            route = self._tools.configuration().match(
+                self._submission.host, self._item.target
+            )
+            if not isinstance(route, Failure):
+                return route
+            await asyncio.sleep(ROUTE_RETRY_S)
+
+    def _need(self, route: Route) -> Need:
+        return Need(
+            route.targets[0].service,
+            self._item.model,
+            self._submission.min_version,
+            self._rank,
+            self._avoided,
         )
 
     def _call(self, count: int) -> Call:
--- /dev/null
+++ b/libs/batches/tests/conftest.py
@@ -0,0 +1,117 @@
+"""A batch, its configuration and everything that runs it, in memory."""
+
+import random
+
+import pytest
+from shallotstand.batches.book import BatchBook
+from shallotstand.batches.item_run import Tools
+from shallotstand.batches.log import BatchLog
+from shallotstand.batches.records import Item, Scorer, Submission
+from shallotstand.core.clock import SystemClock
+from shallotstand.dispatch.config import (
+    ClientAccount,
+    Configuration,
+    Limits,
+    Route,
+    RouteKind,
+    Target,
+)
+from shallotstand.dispatch.endpoints import EndpointBook
+from shallotstand.dispatch.plain import PlainService
+from shallotstand.dispatch.slots import SlotPool
+from shallotstand.standins.memory_documents import MemoryDocuments
+from shallotstand.standins.memory_engines import MemoryEngines
+
+
+def route(name: str, kind: RouteKind, service: str, **fields) -> Route:
+    return Route(
+        **{
+            "name": name,
+            "host": "host.example",
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "targets": (Target(service, 1.0),),
+            "timeout_s": 1.0,
+            "objective_s": 0.2,
+            "priority": 0,
+            "max_attempts": 3,
+            "is_public": True,
+            "is_resumable": False,
+            "results_due_s": 5.0,
+            "item_ttl_s": 20.0,
+            "is_single_version": False,
+            **fields,
+        }
+    )
+
+
+def item(item_id: str, **fields) -> Item:
+    return Item(
+        **{
+            "id": item_id,
+            "target": "/rollouts/1",
+            "headers": (("X-Own", "1"),),
+            "body": b"prompt \xff",
+            "group": "group",
+            "model": "model",
+            "size_hint": 10,
+            "scorer": Scorer(
+                f"score-{item_id}", "host.example", "/scores/1", b"\x00"
+            ),
+            **fields,
+        }
+    )
+
+
+def submission(batch_id: str, *items: Item, **fields) -> Submission:
+    return Submission(
+        **{
+            "id": batch_id,
+            "account": "account",
+            "host": "host.example",
+            "route_path": "/rollouts/",
+            "min_version": 1,
+            "target_groups": 1,
+            "submitted_at": SystemClock().wall(),
+            "owner": "gateway-1",
+            "items": items,
+            **fields,
+        }
+    )
+
+
+class World:
+    """Everything that a run of a batch needs."""
+
+    def __init__(self) -> None:
+        clock = SystemClock()
+        self.store = MemoryDocuments()
+        self.engines = MemoryEngines()
+        self.endpoints = EndpointBook("zone-a", clock)
+        self.batches = BatchBook()
+        self.log = BatchLog(self.store, self.batches, clock)
+        self.rollouts = route("rollouts", RouteKind.BATCH, "engines")
+        plain = PlainService(
+            self.endpoints, self.engines, clock, random.Random(1)
+        )
+        self.tools = Tools(
+            self.endpoints,
+            SlotPool(self.endpoints),
+            self.engines,
+            plain,
+            self.configuration,
+            clock,
+        )
+
+    def configuration(self) -> Configuration:
+        return Configuration.from_parts(
+            1,
+            Limits(16384, 1 << 20, 3.0, 15.0),
+            [self.rollouts, route("scores", RouteKind.IDEMPOTENT, "plain")],
+            [ClientAccount("account", frozenset({"key"}), None)],
+        )
+
+
+@pytest.fixture
+def world():
+    return World()
--- /dev/null
+++ b/libs/batches/tests/test_item_run.py
@@ -0,0 +1,157 @@
+"""One item: resumed, never from versions that the batch does not allow."""
+
+import asyncio
+
+import pytest
+from shallotstand.batches.item_run import ItemRun
+from shallotstand.batches.progress import Progress
+from shallotstand.batches.records import ResultState
+from shallotstand.dispatch.exchange import Answer, StreamEvent
+from shallotstand.standins.memory_engines import (
+    CUT,
+    REFUSED,
+    MemoryStream,
+    endpoint,
+    events,
+)
+
+from .conftest import item, submission
+
+
+def run(world, progress=None, **fields):
+    batch = submission("batch", item("one"), **fields)
+    return asyncio.run(
+        asyncio.wait_for(
+            ItemRun(
+                world.tools,
+                batch,
+                batch.items[0],
+                progress or Progress(),
+                (0.0,),
+            ).run(),
+            5,
+        )
+    )
+
+
+@pytest.fixture
+def engines(world):
+    for name in ("a", "b"):
+        world.endpoints.put(endpoint(name))
+    world.endpoints.put(endpoint("s", service="plain", version_by_model={}))
+    return world.engines
+
+
+def streams_sent(engines):
+    return [sent for sent in engines.sent if sent.endpoint in ("a", "b")]
+
+
+def test_whole_text_and_score_are_listed(world, engines):
+    engines.stream = lambda _: MemoryStream(events(1, 3), 1)
+    result = run(world)
+    assert result.text == "text 1\ntext 2\ntext 3"
+    assert result.versions == (1,)
+    assert result.score == "seal-s"
+    assert result.state is ResultState.COMPLETED
+
+
+def test_scorer_is_asked_after_the_last_event(world, engines):
+    engines.stream = lambda _: MemoryStream(events(1, 2), 1)
+    run(world)
+    assert [sent.endpoint for sent in engines.sent][-1] == "s"
+    assert len(engines.sent) == 2
+
+
+def test_kept_text_of_an_older_version_is_not_listed(world, engines):
+    # A whole text that was kept from the batch before was listed though its
+    # version was under the batch's oldest (VERSION on trouble-1).
+    world.endpoints.put(endpoint("a", version_by_model={"model": 2}))
+    engines.stream = lambda _: MemoryStream(events(1, 2), 2)
+    progress = Progress()
+    progress.events, progress.versions = ["old"], [1]
+    progress.is_whole = True
+    result = run(world, progress, min_version=2)
+    assert result.text == "text 1\ntext 2"
+    assert result.versions == (2,)
+
+
+def test_kept_text_that_fits_is_not_generated_again(world, engines):
+    progress = Progress()
+    progress.events, progress.versions = ["old"], [2]
+    progress.is_whole = True
+    result = run(world, progress, min_version=2)
+    assert (result.text, result.versions) == ("old", (2,))
+    assert not streams_sent(engines)
+
+
+def test_broken_stream_goes_on_elsewhere_after_its_last_event(world, engines):
+    def stream(sent):
+        last = sent.call.last_event_id
+        if last is None:
+            return MemoryStream([*events(1, 2), CUT], 1)
+        return MemoryStream(events(last + 1, 4), 1)
+
+    engines.stream = stream
+    result = run(world)
+    assert result.text == "text 1\ntext 2\ntext 3\ntext 4"
+    first, second = streams_sent(engines)
+    assert first.endpoint != second.endpoint
+    assert second.call.last_event_id == 2
+
+
+def test_event_out_of_order_is_not_joined(world, engines):
+    def stream(sent):
+        if sent.call.last_event_id is None:
+            return MemoryStream([*events(1, 1), *events(3, 3)], 1)
+        return MemoryStream(events(2, 3), 1)
+
+    engines.stream = stream
+    assert run(world).text == "text 1\ntext 2\ntext 3"
+
+
+def test_version_change_within_a_text_is_named(world, engines):
+    changed = StreamEvent(2, "text 2", 2, b"")
+    engines.stream = lambda _: MemoryStream([*events(1, 1), changed], 1)
+    assert run(world).versions == (1, 2)
+
+
+def test_single_version_route_starts_anew_at_a_change(world, engines):
+    world.rollouts = world.rollouts._replace(is_single_version=True)
+    changed = StreamEvent(2, "text 2", 2, b"")
+    answers = iter(
+        [
+            MemoryStream([*events(1, 1), changed], 1),
+            MemoryStream(events(1, 2), 2),
+        ]
+    )
+    engines.stream = lambda _: next(answers)
+    result = run(world)
+    assert (result.versions, result.text) == ((2,), "text 1\ntext 2")
+    assert streams_sent(engines)[1].call.last_event_id is None
+
+
+def test_refused_item_waits_and_runs(world, engines):
+    answers = iter([REFUSED, REFUSED, MemoryStream(events(1, 1), 1)])
+    engines.stream = lambda _: next(answers)
+    assert run(world).text == "text 1"
+
+
+@pytest.mark.parametrize(("status", "runs"), [(422, 1), (500, 3)])
+def test_item_that_can_not_be_done_is_lost(world, engines, status, runs):
+    def stream(_):
+        failing = MemoryStream([], 1)
+        failing.status = status
+        return failing
+
+    engines.stream = stream
+    result = run(world)
+    assert result.state is ResultState.LOST
+    assert len(streams_sent(engines)) == runs
+
+
+def test_item_whose_scorer_always_fails_is_lost(world, engines):
+    engines.stream = lambda _: MemoryStream(events(1, 1), 1)
+    engines.answer = lambda _: Answer(500, (), b"", "")
+    result = run(world)
+    assert result.state is ResultState.LOST
+    assert len(engines.sent) - len(streams_sent(engines)) >= 3
--- a/libs/duties/src/shallotstand/duties/lease.py
+++ b/libs/duties/src/shallotstand/duties/lease.py
@@ -43,9 +43,20 @@
       fence: Fencing token of this process's last tenure.
     """
 
-    def __init__(self, store: DocumentStore, process_id: str, clock: Clock):
+    def __init__(
+        self, store: DocumentStore, process_id: str, node: str, clock: Clock
+    ):
+        """Makes the lease of a process.
+
+        Args:
+          store: The store.
+          process_id: The process; begins with the name of its machine.
+          node: Name of its machine.
+          clock: Source of time.
+        """
         self._store = store
         self._process_id = process_id
+        self._node = node
         self._clock = clock
         self._document: Document | None = None
         self._seen_at = clock.monotonic()
@@ -122,8 +133,7 @@
         self._see(outcome)
         if self._is_resigned:
             return
-        silent_s = self._clock.monotonic() - self._seen_at
-        if outcome.spec["holder"] and silent_s < TAKEOVER_S:
+        if not self._is_vacant(outcome.spec["holder"]):
             return
         record = LeaseRecord(
             holder=self._process_id,
@@ -136,6 +146,16 @@
         )
         await self._take(taken, started)
 
+    def _is_vacant(self, holder: str) -> bool:
+        if not holder:
+            return True
+        if holder != self._process_id and (
+            holder.rpartition(".")[0] == self._node
+        ):
+            # An earlier process of this machine; it can't be running.
+            return True
+        return self._clock.monotonic() - self._seen_at >= TAKEOVER_S
+
     async def _take(self, outcome: Document | Failure, started: float) -> None:
         """Takes the outcome of a write that would make this the holder."""
         if isinstance(outcome, Failure):
