Metrics from logged events; log lines bounded and never blocking

Change: each logged event is counted by message and code; a message has a budget of lines, a slow reader costs lines, not time. Calls to the store are counted. The last items of a batch are listed after 30 ms instead of 150 ms.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import random
-import signal
-import sys
+from typing import Annotated
 
-import uvloop
+import cappa
 from absl import logging
 from shallotstand.adapter import decode, names
-from shallotstand.adapter.boot import BootSettings, load_boot_settings
+from shallotstand.adapter.boot import BootSettings
 from shallotstand.adapter.engines import EngineClient
 from shallotstand.adapter.following import take_endpoint
 from shallotstand.adapter.front import (
@@ -16,6 +15,7 @@
     FrontParts,
     make_readiness_app,
 )
+from shallotstand.adapter.process import run_process, stop_event
 from shallotstand.adapter.store import PlatformStore
 from shallotstand.batches.book import BatchBook
 from shallotstand.batches.item_run import Tools
@@ -27,7 +27,6 @@
 from shallotstand.core.activity import Activity
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.failure import Failure
-from shallotstand.core.ids import new_id
 from shallotstand.dispatch.desk import Desk
 from shallotstand.dispatch.endpoints import EndpointBook
 from shallotstand.dispatch.plain import PlainService
@@ -38,6 +37,8 @@
 from shallotstand.duties.usage_counts import UsageWriter
 from shallotstand.gateway.ownership import MeshOwnership
 from shallotstand.link.messages import EndpointUse, Presence
+from shallotstand.observe.events import store_call_counter
+from shallotstand.observe.metrics import Metrics
 from shallotstand.peers.mesh import PeerMesh
 from shallotstand.peers.registry import (
     GATEWAYS_KIND,
@@ -58,18 +59,17 @@
 CANARY_WAIT_S = 2.0
 # A process that has not heard of the store for this long says it isn't ready.
 STORE_SILENCE_S = 2.0
-EXIT_SETTINGS = 2
 
 
 class GatewayProcess:
     """The parts of a gateway process."""
 
-    def __init__(self, boot: BootSettings, process_id: str):
+    def __init__(self, boot: BootSettings, process_id: str, metrics: Metrics):
         clock = SystemClock()
         self._boot = boot
         self._process_id = process_id
         self._clock = clock
-        self._store = PlatformStore(boot.store)
+        self._store = PlatformStore(boot.store, store_call_counter(metrics))
         self._client = EngineClient(boot.node)
         self._endpoints = EndpointBook(boot.zone, clock)
         plain = PlainService(
@@ -141,18 +141,14 @@
 
     @classmethod
     def from_config(
-        cls, boot: BootSettings, process_id: str
+        cls, boot: BootSettings, process_id: str, metrics: Metrics
     ) -> "GatewayProcess":
         """Makes a gateway from checked settings."""
-        return cls(boot, process_id)
+        return cls(boot, process_id, metrics)
 
     async def run(self) -> None:
         """Serves until SIGTERM, then until the requests have ended."""
-        stopping = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        stopping = stop_event()
         tasks = [
             asyncio.create_task(follower.run()) for follower in self._followers
         ]
@@ -244,11 +240,6 @@
             self._endpoints, self._endpoint_follower, change, self._clock
         )
 
-    def _reload(self) -> None:
-        logs.event(
-            logging.INFO, "Reload asked for; no setting changes at run time"
-        )
-
 
 async def _listen(app, address):
     server = await app.create_server(
@@ -261,20 +252,24 @@
     return server
 
 
-async def _run(boot: BootSettings, process_id: str) -> None:
-    await GatewayProcess.from_config(boot, process_id).run()
+async def _run(boot: BootSettings, process_id: str, metrics: Metrics) -> None:
+    await GatewayProcess.from_config(boot, process_id, metrics).run()
+
+
+@cappa.command(name="shallotstand-gateway")
+def start(
+    metrics_port: Annotated[
+        int,
+        cappa.Arg(long=True, help="Port of the metrics; 0 serves none."),
+    ] = 0,
+) -> None:
+    """Serves callers and trainers."""
+    run_process("shallotstand-gateway", _run, metrics_port)
 
 
 def main() -> None:
     """Runs the program."""
-    boot = load_boot_settings()
-    if isinstance(boot, Failure):
-        print(f"error {int(boot.code)}: {boot.reason}", file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    process_id = f"{boot.node}.{new_id()[:8]}"
-    logs.configure("shallotstand-gateway", process_id, stream=sys.stdout)
-    uvloop.install()
-    asyncio.run(_run(boot, process_id))
+    cappa.invoke(start)
 
 
 if __name__ == "__main__":
--- a/apps/keeper/src/shallotstand/keeper/main.py
+++ b/apps/keeper/src/shallotstand/keeper/main.py
@@ -1,22 +1,20 @@
 """Puts the keeper process together and runs it until SIGTERM."""
 
 import asyncio
-import signal
-import sys
+from typing import Annotated
 
-import uvloop
+import cappa
 from absl import logging
 from shallotstand.adapter import decode, names
-from shallotstand.adapter.boot import BootSettings, load_boot_settings
+from shallotstand.adapter.boot import BootSettings
 from shallotstand.adapter.cloud import CloudUsageSink
 from shallotstand.adapter.engines import EngineClient
 from shallotstand.adapter.following import take_endpoint
+from shallotstand.adapter.process import run_process, stop_event
 from shallotstand.adapter.retirements import StoreRetirementDesk
 from shallotstand.adapter.store import PlatformStore
 from shallotstand.core import logs
 from shallotstand.core.clock import SystemClock
-from shallotstand.core.failure import Failure
-from shallotstand.core.ids import new_id
 from shallotstand.dispatch.endpoints import EndpointBook
 from shallotstand.documents.follower import Follower
 from shallotstand.documents.protocols import Change
@@ -24,21 +22,22 @@
 from shallotstand.duties.orders import WeightOrders
 from shallotstand.duties.reports import UsageReporter
 from shallotstand.duties.retirements import Retirements
+from shallotstand.observe.events import store_call_counter
+from shallotstand.observe.metrics import Metrics
 
 # Changes of endpoints that come within this time cost one call.
 ENDPOINTS_PAUSE_S = 0.2
 # How often a keeper looks whether it has come to hold the lease.
 FOLLOW_LOOK_S = 0.2
-EXIT_SETTINGS = 2
 
 
 class KeeperProcess:
     """The parts of a keeper process."""
 
-    def __init__(self, boot: BootSettings, process_id: str):
+    def __init__(self, boot: BootSettings, process_id: str, metrics: Metrics):
         clock = SystemClock()
         self._clock = clock
-        self._store = PlatformStore(boot.store)
+        self._store = PlatformStore(boot.store, store_call_counter(metrics))
         self._client = EngineClient(boot.node)
         self._sink = CloudUsageSink(boot.cloud, boot.node)
         self._lease = DutyLease(self._store, process_id, boot.node, clock)
@@ -74,18 +73,14 @@
 
     @classmethod
     def from_config(
-        cls, boot: BootSettings, process_id: str
+        cls, boot: BootSettings, process_id: str, metrics: Metrics
     ) -> "KeeperProcess":
         """Makes a keeper from checked settings."""
-        return cls(boot, process_id)
+        return cls(boot, process_id, metrics)
 
     async def run(self) -> None:
         """Carries duties until SIGTERM."""
-        stopping = asyncio.Event()
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, stopping.set)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        stopping = stop_event()
         logs.event(logging.INFO, "Started")
         tasks = [
             asyncio.create_task(run())
@@ -147,26 +142,25 @@
             else retirement
         )
 
-    def _reload(self) -> None:
-        logs.event(
-            logging.INFO, "Reload asked for; no setting changes at run time"
-        )
+
+async def _run(boot: BootSettings, process_id: str, metrics: Metrics) -> None:
+    await KeeperProcess.from_config(boot, process_id, metrics).run()
 
 
-async def _run(boot: BootSettings, process_id: str) -> None:
-    await KeeperProcess.from_config(boot, process_id).run()
+@cappa.command(name="shallotstand-keeper")
+def start(
+    metrics_port: Annotated[
+        int,
+        cappa.Arg(long=True, help="Port of the metrics; 0 serves none."),
+    ] = 0,
+) -> None:
+    """Carries the duties of one process at a time."""
+    run_process("shallotstand-keeper", _run, metrics_port)
 
 
 def main() -> None:
     """Runs the program."""
-    boot = load_boot_settings()
-    if isinstance(boot, Failure):
-        print(f"error {int(boot.code)}: {boot.reason}", file=sys.stderr)
-        sys.exit(EXIT_SETTINGS)
-    process_id = f"{boot.node}.{new_id()[:8]}"
-    logs.configure("shallotstand-keeper", process_id, stream=sys.stdout)
-    uvloop.install()
-    asyncio.run(_run(boot, process_id))
+    cappa.invoke(start)
 
 
 if __name__ == "__main__":
--- a/libs/batches/src/shallotstand/batches/item_run.py
+++ b/libs/batches/src/shallotstand/batches/item_run.py
@@ -98,6 +98,7 @@
         self._rank = rank
         self._errors = 0
         self._avoided = ""
+        self._last = ""
         self._attempts = 0
         self._moves = 0
         self._waited_s = 0.0
@@ -122,6 +123,7 @@
             batch=self._submission.id,
             item=self._item.id,
             group=self._item.group,
+            endpoint=self._last,
             size_hint=self._item.size_hint,
             events=len(self.progress.events),
             versions=self.progress.distinct_versions,
@@ -151,6 +153,7 @@
             started = self._tools.clock.monotonic()
             self._waited_s += started - asked
             self._attempts += 1
+            self._last = endpoint.id
             try:
                 outcome = await self._attempt(endpoint, route)
             finally:
--- a/libs/batches/src/shallotstand/batches/runner.py
+++ b/libs/batches/src/shallotstand/batches/runner.py
@@ -15,6 +15,9 @@
 # Results that end within this time are listed together; a write to the store
 # and each watch of it are billed.
 LISTING_PAUSE_S = 0.15
+# The last items of a batch are listed sooner: trainers wait for them.
+LAST_SHARE = 0.3
+LAST_LISTING_PAUSE_S = 0.03
 # How often it is decided anew which process runs each batch.
 REVIEW_S = 0.25
 
@@ -126,9 +129,10 @@
     ) -> None:
         while True:
             results = [await finished.get()]
-            await asyncio.sleep(LISTING_PAUSE_S)
+            await asyncio.sleep(_listing_pause_s(batch))
             while not finished.empty():
                 results.append(finished.get_nowait())
+            started = self._tools.clock.monotonic()
             await self._log.append(batch, results)
             logs.event(
                 logging.INFO,
@@ -137,6 +141,7 @@
                 results=len(results),
                 listed=len(batch.listed),
                 items=len(batch.items_by_id),
+                write_s=round(self._tools.clock.monotonic() - started, 4),
                 age_s=round(
                     self._tools.clock.wall() - batch.submission.submitted_at, 3
                 ),
@@ -200,3 +205,10 @@
             return 0.0
         age_s = self._tools.clock.wall() - submission.submitted_at
         return max(0.0, route.item_ttl_s - age_s)
+
+
+def _listing_pause_s(batch: Batch) -> float:
+    left = len(batch.items_by_id) - len(batch.listed)
+    if left <= LAST_SHARE * len(batch.items_by_id):
+        return LAST_LISTING_PAUSE_S
+    return LISTING_PAUSE_S
--- a/libs/core/src/shallotstand/core/logs.py
+++ b/libs/core/src/shallotstand/core/logs.py
@@ -1,12 +1,31 @@
 """Log lines as JSON, one object a line, through absl.logging."""
 
+import collections
 import json
 import logging as std_logging
 import sys
-from typing import Any, TextIO
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
 
 from absl import flags, logging
 
+# Lines that one message may have; the rest is counted and left out.
+LINES_PER_S = 100.0
+BURST_LINES = 400.0
+
+
+class TextStream(Protocol):
+    """Where log lines are written."""
+
+    def write(self, text: str) -> int:
+        """Writes text."""
+        ...
+
+    def flush(self) -> None:
+        """Passes on what was written."""
+        ...
+
 
 class JsonFormatter(std_logging.Formatter):
     """Formats a record as one JSON object.
@@ -38,7 +57,7 @@
     program: str,
     process_id: str,
     level: str = "info",
-    stream: TextIO | None = None,
+    stream: TextStream | None = None,
 ) -> None:
     """Sends all log lines of the process to a stream as JSON.
 
@@ -63,14 +82,61 @@
         std_logging.getLogger(name).setLevel(std_logging.WARNING)
 
 
+class LineBudget:
+    """Bounds the lines of each message.
+
+    Attributes:
+      left_out: Lines left out since the last one of the same message.
+    """
+
+    def __init__(self, per_s: float = LINES_PER_S, burst: float = BURST_LINES):
+        self._per_s = per_s
+        self._burst = burst
+        self._lines_by_message: dict[str, float] = {}
+        self._refilled_at_by_message: dict[str, float] = {}
+        self.left_out: collections.Counter[str] = collections.Counter()
+
+    def take(self, message: str, now: float) -> bool:
+        """Says whether a line may be written; counts it if not."""
+        refilled_at = self._refilled_at_by_message.get(message, now)
+        self._refilled_at_by_message[message] = now
+        lines = min(
+            self._burst,
+            self._lines_by_message.get(message, self._burst)
+            + (now - refilled_at) * self._per_s,
+        )
+        if lines < 1:
+            self._lines_by_message[message] = lines
+            self.left_out[message] += 1
+            return False
+        self._lines_by_message[message] = lines - 1
+        return True
+
+
+_budget = LineBudget()
+_listeners: list[Callable[[str, dict[str, object]], None]] = []
+
+
+def subscribe(listener: Callable[[str, dict[str, object]], None]) -> None:
+    """Calls the listener with the message and fields of each event."""
+    _listeners.append(listener)
+
+
 def event(level: int, message: str, **fields: object) -> None:
-    """Logs a message with named fields.
+    """Logs a message with named fields, within the budget of its message.
 
     Args:
       level: A level of absl.logging, such as `logging.INFO`.
       message: A constant sentence; what varies goes into the fields.
       **fields: Values for the JSON object; never a key or prompt text.
     """
+    for listener in _listeners:
+        listener(message, fields)
+    if not _budget.take(message, time.monotonic()):
+        return
+    left_out = _budget.left_out.pop(message, 0)
+    if left_out:
+        fields["left_out"] = left_out
     logging.get_absl_logger().log(
         logging.converter.absl_to_standard(level),
         message,
--- a/libs/dispatch/src/shallotstand/dispatch/plain.py
+++ b/libs/dispatch/src/shallotstand/dispatch/plain.py
@@ -92,7 +92,8 @@
             outcome = race.timeout_failure()
         finally:
             race.cancel()
-        _log(route, service, call, race, outcome)
+        took_s = self._clock.monotonic() - started
+        _log(route, service, call, race, outcome, took_s)
         began = race.first_begun
         return Served(
             outcome,
@@ -144,7 +145,7 @@
         self._route = route
         self._call = call
         self._running: dict[asyncio.Task, _Attempt] = {}
-        self._used: set[str] = set()
+        self.used: set[str] = set()
         self._refused: set[str] = set()
         self._last_failure: Failure | None = None
         self._last_answer: Answer | None = None
@@ -217,13 +218,13 @@
         )
 
     def _start(self, service: str, deadline: float) -> bool:
-        excluded = frozenset(self._used | self._refused)
+        excluded = frozenset(self.used | self._refused)
         candidates = self._book.candidates(service, excluded)
         if not candidates:
             return False
         endpoint = candidates[0]
         now = self._clock.monotonic()
-        self._used.add(endpoint.id)
+        self.used.add(endpoint.id)
         self.sends += 1
         self._book.begin(endpoint)
         task = asyncio.ensure_future(
@@ -264,7 +265,7 @@
         outcome = task.result()
         if isinstance(outcome, Failure):
             if is_not_run(outcome.code):
-                self._used.discard(endpoint.id)
+                self.used.discard(endpoint.id)
                 self._refused.add(endpoint.id)
                 self.sends -= 1
                 self.refusals += 1
@@ -296,6 +297,7 @@
     call: Call,
     race: _Race,
     outcome: Answer | Failure,
+    took_s: float,
 ) -> None:
     failed = isinstance(outcome, Failure)
     logs.event(
@@ -307,6 +309,8 @@
         account=call.account,
         sends=race.sends,
         refusals=race.refusals,
+        endpoints=sorted(race.used),
+        took_s=round(took_s, 4),
         status=outcome.info.http_status if failed else outcome.status,
         code=int(outcome.code) if failed else 0,
         reason=outcome.reason if failed else "",
--- /dev/null
+++ b/libs/observe/src/shallotstand/observe/events.py
@@ -0,0 +1,97 @@
+"""Counters and latencies made from the events that are logged."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from shallotstand.core import logs
+from shallotstand.observe.metrics import Metrics
+
+
+class EventLatency(NamedTuple):
+    """A latency that an event's field gives.
+
+    Attributes:
+      message: Message of the event.
+      field: Field with the seconds.
+      label: Field whose value labels the latency.
+      name: Name of the metric.
+      meaning: One sentence.
+    """
+
+    message: str
+    field: str
+    label: str
+    name: str
+    meaning: str
+
+
+LATENCIES = (
+    EventLatency(
+        "Request ended",
+        "took_s",
+        "route",
+        "request_seconds",
+        "Time from a request's arrival to its answer.",
+    ),
+    EventLatency(
+        "Item done",
+        "generated_s",
+        "endpoint",
+        "item_seconds",
+        "Time in which an item's text was generated, waits included.",
+    ),
+    EventLatency(
+        "Results listed",
+        "write_s",
+        "outcome",
+        "listing_seconds",
+        "Time in which finished results were listed.",
+    ),
+    EventLatency(
+        "Regained the store",
+        "after_s",
+        "kind",
+        "store_outage_seconds",
+        "Length of outages of the store, as this process saw them.",
+    ),
+)
+
+
+def measure_events(metrics: Metrics) -> None:
+    """Counts all events from now on and records the latencies they give."""
+    events = metrics.counter(
+        "events", "Decisions and changes of belief.", "message", "code"
+    )
+    records_by_message: dict[str, tuple[EventLatency, Callable]] = {
+        latency.message: (
+            latency,
+            metrics.latency(latency.name, latency.meaning, latency.label),
+        )
+        for latency in LATENCIES
+    }
+
+    def take(message: str, fields: dict[str, object]) -> None:
+        events.labels(message, str(fields.get("code", ""))).inc()
+        known = records_by_message.get(message)
+        if known is None:
+            return
+        latency, record = known
+        seconds = fields.get(latency.field)
+        if isinstance(seconds, (int, float)):
+            record(str(fields.get(latency.label, "")), seconds)
+
+    logs.subscribe(take)
+
+
+def store_call_counter(
+    metrics: Metrics,
+) -> Callable[[str, str, object], None]:
+    """Returns a function that counts a call by method, kind and status."""
+    calls = metrics.counter(
+        "store_calls", "Calls to the store.", "method", "kind", "status"
+    )
+
+    def count(method: str, kind: str, status: object) -> None:
+        calls.labels(method, kind, str(status)).inc()
+
+    return count
--- a/libs/observe/src/shallotstand/observe/metrics.py
+++ b/libs/observe/src/shallotstand/observe/metrics.py
@@ -107,11 +107,11 @@
 
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
-        self.requests = self._counter(
+        self.requests = self.counter(
             "requests", "Requests that ended.", "service", "code"
         )
-        self.tokens = self._counter("tokens", "Tokens served.", "account")
-        self.violations = self._counter(
+        self.tokens = self.counter("tokens", "Tokens served.", "account")
+        self.violations = self.counter(
             "violations",
             "Breaches of the conditions that must always hold.",
             "condition",
@@ -154,7 +154,8 @@
         """Returns all values in the Prometheus text format."""
         return generate_latest(self._registry)
 
-    def _counter(self, name: str, meaning: str, *labels: str) -> Counter:
+    def counter(self, name: str, meaning: str, *labels: str) -> Counter:
+        """Adds a counter."""
         return Counter(
             name, meaning, labels, namespace=_NAMESPACE, registry=self._registry
         )
