--- a/libs/documents/src/shallotstand/documents/follower.py
+++ b/libs/documents/src/shallotstand/documents/follower.py
@@ -12,6 +12,9 @@
 
 # A watch that hears nothing asks again after this.
 WATCH_WAIT_S = 20.0
+# After a failure the first watch asks for an answer at once, to learn that the
+# store is back.
+PROBE_WAIT_S = 0.02
 # Repeats after a failure; an outage of the store lasts seconds, and each call
 # is billed.
 FIRST_RETRY_S = 0.15
@@ -143,7 +146,9 @@
         return None
 
     async def _watch(self, revision: int) -> Failure | None:
-        changes = await self._store.watch(self._kind, revision, self._wait_s)
+        is_probe = self.failing_since is not None
+        wait_s = PROBE_WAIT_S if is_probe else self._wait_s
+        changes = await self._store.watch(self._kind, revision, wait_s)
         if isinstance(changes, Failure):
             return changes
         for change in changes.changes:
--- /dev/null
+++ b/libs/documents/tests/test_follower.py
@@ -0,0 +1,109 @@
+"""A copy of a kind stays in step through outages and dropped history."""
+
+import asyncio
+
+from shallotstand.core.clock import SystemClock
+from shallotstand.documents.follower import Follower
+from shallotstand.standins.memory_documents import MemoryDocuments
+
+
+class Copy:
+    """A copy that is made of changes only."""
+
+    def __init__(self):
+        self.specs_by_name = {}
+        self.changes = 0
+
+    def take(self, change):
+        self.changes += 1
+        if change.is_removed:
+            self.specs_by_name.pop(change.document.name, None)
+        else:
+            self.specs_by_name[change.document.name] = change.document.spec
+
+
+def follow(scenario, **options):
+    async def run():
+        store, copy = MemoryDocuments(), Copy()
+        follower = Follower(store, "kind", copy.take, SystemClock(), **options)
+        task = asyncio.create_task(follower.run())
+        try:
+            await asyncio.wait_for(scenario(store, copy, follower), 10)
+        finally:
+            task.cancel()
+
+    asyncio.run(run())
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+def test_changes_arrive_in_order():
+    async def scenario(store, copy, follower):
+        await store.create("kind", "a", 1)
+        await follower.wait_synced()
+        created = await store.create("kind", "b", 1)
+        await store.replace("kind", "b", 2, created.revision)
+        await store.create("other", "c", 1)
+        await store.delete("kind", "a")
+        await until(lambda: copy.specs_by_name == {"b": 2})
+
+    follow(scenario)
+
+
+def test_dropped_history_is_made_up_by_a_listing():
+    async def scenario(store, copy, follower):
+        await store.create("kind", "a", 1)
+        await follower.wait_synced()
+        store.set_down(True)
+        await until(lambda: follower.failing_since is not None)
+        store.is_down = False
+        await store.delete("kind", "a")
+        await store.create("kind", "b", 1)
+        store.drop_history()
+        await until(lambda: copy.specs_by_name == {"b": 1})
+
+    follow(scenario)
+
+
+def test_outage_is_noted_and_ended():
+    async def scenario(store, copy, follower):
+        states = []
+        follower.subscribe(
+            lambda: states.append(follower.failing_since is not None)
+        )
+        await follower.wait_synced()
+        store.set_down(True)
+        await until(lambda: states == [True])
+        store.set_down(False)
+        await until(lambda: states == [True, False])
+        assert follower.regained_at > 0
+
+    follow(scenario)
+
+
+def test_a_call_that_hangs_can_be_restarted():
+    async def scenario(store, copy, follower):
+        await follower.wait_synced()
+        await until(lambda: store.calls["watch", "kind"] == 1)
+        follower.restart_call()
+        await until(lambda: store.calls["watch", "kind"] == 2)
+        await store.create("kind", "a", 1)
+        await until(lambda: copy.specs_by_name == {"a": 1})
+
+    follow(scenario)
+
+
+def test_unchanged_documents_are_not_told_again():
+    async def scenario(store, copy, follower):
+        await store.create("kind", "a", 1)
+        await follower.wait_synced()
+        await store.create("other", "b", 1)
+        store.drop_history()
+        await until(lambda: store.calls["list", "kind"] == 2)
+        await asyncio.sleep(0.05)
+        assert copy.changes == 1
+
+    follow(scenario)
