Share the engines evenly between models; free a load's place sooner

Cause: engines register one after the other, and the first two were given all three models for good; items of Trentvale waited up to 11 s for a slot. Change: the assignment is made anew at each look, evenly, keeping engines where it can; an accepted load frees its place after 0.92 s without a poll. Conclusion: a model with many items still waits 2 to 4 s for its two engines.

--- a/libs/batches/src/shallotstand/batches/runner.py
+++ b/libs/batches/src/shallotstand/batches/runner.py
@@ -48,7 +48,7 @@
         self._process_id = process_id
         self._texts = ProgressCache()
         self._tasks_by_batch: dict[str, asyncio.Task] = {}
-        self._is_stopping = False
+        self._is_running = False
         book.subscribe(self._review)
 
     @property
@@ -57,7 +57,11 @@
         return len(self._tasks_by_batch)
 
     async def run(self) -> None:
-        """Reviews all batches until cancelled."""
+        """Reviews all batches until cancelled.
+
+        The log has to be read whole before, so that ended batches are known.
+        """
+        self._is_running = True
         while True:
             for batch in list(self._book.by_id.values()):
                 self._review(batch)
@@ -65,7 +69,7 @@
 
     async def stop(self) -> None:
         """Ends all runs; other processes take the batches over."""
-        self._is_stopping = True
+        self._is_running = False
         tasks = list(self._tasks_by_batch.values())
         for task in tasks:
             task.cancel()
@@ -77,7 +81,7 @@
             if task is not None and batch.is_ended:
                 task.cancel()
             return
-        if task is not None or self._is_stopping:
+        if task is not None or not self._is_running:
             return
         if not self._ownership.is_mine(batch):
             return
--- a/libs/duties/src/shallotstand/duties/orders.py
+++ b/libs/duties/src/shallotstand/duties/orders.py
@@ -1,6 +1,7 @@
 """Brings the engines to the versions of the weights that trainers name."""
 
 import asyncio
+import collections
 import enum
 import itertools
 import math
@@ -16,11 +17,13 @@
 # Share of a service's engines that load at once; more slow each other down.
 CONCURRENT_SHARE = 0.4
 LOOK_S = 0.15
-# A load takes about this long; the engine is asked from then on.
-LOAD_S = 0.95
-POLL_S = 0.35
-# After this an order whose effect isn't seen is given again.
-GIVE_UP_S = 5.0
+# A load takes about this long; then another engine may load.
+LOAD_S = 0.92
+# Pause before a busy engine is asked again.
+POLL_S = 0.3
+# An accepted order whose effect isn't listed after this long is given again;
+# engines tell of themselves every second or so.
+GIVE_UP_S = 4.0
 # Pause after an engine refused an order or can't be reached.
 REFUSED_PAUSE_S = 0.5
 # Each model is kept on this many engines at least, so that one may fail.
@@ -103,6 +106,7 @@
         self._tasks_by_endpoint: dict[str, asyncio.Task] = {}
         self._model_by_loading: dict[str, str] = {}
         self._engines_by_model: dict[str, list[str]] = {}
+        self._accepted: dict[tuple[str, str], tuple[int, float]] = {}
         self.version_by_model: dict[str, int] = {}
 
     def name_version(self, model: str, version: int) -> None:
@@ -143,9 +147,12 @@
     def _assign(self, engines: list[Endpoint]) -> None:
         """Chooses the engines on which each model is kept new.
 
-        Engines stay with a model; each model has its equal share of them.
+        Each model has its equal share of them, on those with the fewest other
+        models; it stays where it is as far as that allows.
         """
-        engines_by_id = {endpoint.id: endpoint for endpoint in engines}
+        open_engines = [
+            endpoint for endpoint in engines if self._book.is_open(endpoint.id)
+        ]
         models = sorted(
             set(
                 itertools.chain.from_iterable(
@@ -156,36 +163,25 @@
         if not models:
             return
         share = max(MIN_ENGINES, math.ceil(len(engines) / len(models)))
+        models_by_engine = collections.Counter()
         for model in models:
-            kept = [
-                engine
-                for engine in self._engines_by_model.get(model, ())
-                if engine in engines_by_id and self._book.is_open(engine)
-            ]
-            self._engines_by_model[model] = kept
-            models_by_engine = {
-                engine: sum(
-                    engine in assigned
-                    for assigned in self._engines_by_model.values()
-                )
-                for engine in engines_by_id
-            }
-            others = sorted(
+            before = self._engines_by_model.get(model, ())
+            ranked = sorted(
                 (
                     endpoint
-                    for endpoint in engines
-                    if endpoint.id not in kept
-                    and model in endpoint.version_by_model
+                    for endpoint in open_engines
+                    if model in endpoint.version_by_model
                 ),
-                key=lambda endpoint: (
+                key=lambda endpoint, model=model, before=before: (
                     models_by_engine[endpoint.id],
+                    endpoint.id not in before,
                     -endpoint.version_by_model[model],
                     endpoint.id,
                 ),
             )
-            kept.extend(
-                endpoint.id for endpoint in others[: max(0, share - len(kept))]
-            )
+            chosen = [endpoint.id for endpoint in ranked[:share]]
+            self._engines_by_model[model] = chosen
+            models_by_engine.update(chosen)
 
     def _wanted(self, engines: list[Endpoint]) -> list[tuple[Endpoint, str]]:
         """Returns the loads that are due, the most outdated first."""
@@ -194,7 +190,7 @@
             for endpoint in engines
             for model, version in self.version_by_model.items()
             if endpoint.id in self._engines_by_model.get(model, ())
-            and self._book.version(endpoint, model) < version
+            and self._expected_version(endpoint, model) < version
         ]
         return sorted(
             wanted,
@@ -204,6 +200,14 @@
             ),
         )
 
+    def _expected_version(self, endpoint: Endpoint, model: str) -> int:
+        """Returns the version that an engine has or has accepted to load."""
+        listed = self._book.version(endpoint, model)
+        accepted, until = self._accepted.get((endpoint.id, model), (0, 0.0))
+        if until < self._clock.monotonic():
+            return listed
+        return max(listed, accepted)
+
     def _may_load(self, endpoint: Endpoint, model: str) -> bool:
         if endpoint.id in self._tasks_by_endpoint:
             return False
@@ -254,32 +258,18 @@
             self._lease.give_up("An engine has seen a higher fence.")
         elif outcome is OrderOutcome.HOLDS_ALREADY:
             self._book.note_version(endpoint, model, version)
-        elif outcome in (OrderOutcome.ACCEPTED, OrderOutcome.UNKNOWN):
-            await self._await_load(endpoint, order)
+        elif outcome is OrderOutcome.ACCEPTED:
+            await asyncio.sleep(LOAD_S)
+            self._accepted[endpoint.id, model] = (
+                version,
+                self._clock.monotonic() + GIVE_UP_S,
+            )
         else:
+            # An order without an answer may still be carried out. The next
+            # one expects the same number of orders before it, so only one of
+            # the two can take effect.
             await asyncio.sleep(REFUSED_PAUSE_S)
 
-    async def _await_load(
-        self, endpoint: Endpoint, order: VersionOrder
-    ) -> None:
-        """Waits until an engine has loaded, or it is time to ask again."""
-        started = self._clock.monotonic()
-        await asyncio.sleep(LOAD_S)
-        while self._clock.monotonic() - started < GIVE_UP_S:
-            report = await self._control.report(endpoint)
-            if not isinstance(report, Failure):
-                self._note_versions(endpoint, report)
-                loaded = report.version_by_model.get(order.model, 0)
-                if loaded >= order.version:
-                    return
-                if report.orders == order.expected_orders and (
-                    not report.is_busy
-                ):
-                    # Not accepted so far; the next order expects the same
-                    # number, so only one of the two can take effect.
-                    return
-            await asyncio.sleep(POLL_S)
-
     def _note_versions(self, endpoint: Endpoint, report: EngineReport) -> None:
         for model, version in report.version_by_model.items():
             self._book.note_version(endpoint, model, version)
