Settings file for gateway and keeper; peers tell which batches they run

Change: a batch that a working peer runs is not taken over; the programs read checked settings named by the environment, the command line is a module apart.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import random
-from typing import Annotated
 
-import cappa
 from absl import logging
 from shallotstand.adapter import decode, names
 from shallotstand.adapter.boot import BootSettings
@@ -225,6 +223,7 @@
                 EndpointUse(endpoint, running)
                 for endpoint, running in self._endpoints.running_by_id().items()
             ),
+            self._runner.running(),
         )
 
     def _take_config(self, change: Change) -> None:
@@ -263,20 +262,9 @@
     await GatewayProcess.from_config(boot, process_id, metrics).run()
 
 
-@cappa.command(name="shallotstand-gateway")
-def start(
-    metrics_port: Annotated[
-        int,
-        cappa.Arg(long=True, help="Port of the metrics; 0 serves none."),
-    ] = 0,
-) -> None:
-    """Serves callers and trainers."""
-    run_process("shallotstand-gateway", _run, metrics_port)
-
-
 def main() -> None:
-    """Runs the program."""
-    cappa.invoke(start)
+    """Runs the program with the settings that the environment names."""
+    run_process("shallotstand-gateway", _run)
 
 
 if __name__ == "__main__":
--- a/apps/gateway/src/shallotstand/gateway/ownership.py
+++ b/apps/gateway/src/shallotstand/gateway/ownership.py
@@ -39,6 +39,7 @@
             return True
         return (
             self._mesh.is_settled
+            and not self._mesh.is_run(batch_id)
             and not self._mesh.is_working(owner)
             and self._mesh.first_for(batch_id) == self._process_id
         )
--- a/apps/keeper/src/shallotstand/keeper/main.py
+++ b/apps/keeper/src/shallotstand/keeper/main.py
@@ -1,9 +1,7 @@
 """Puts the keeper process together and runs it until SIGTERM."""
 
 import asyncio
-from typing import Annotated
 
-import cappa
 from absl import logging
 from shallotstand.adapter import decode, names
 from shallotstand.adapter.boot import BootSettings
@@ -147,20 +145,9 @@
     await KeeperProcess.from_config(boot, process_id, metrics).run()
 
 
-@cappa.command(name="shallotstand-keeper")
-def start(
-    metrics_port: Annotated[
-        int,
-        cappa.Arg(long=True, help="Port of the metrics; 0 serves none."),
-    ] = 0,
-) -> None:
-    """Carries the duties of one process at a time."""
-    run_process("shallotstand-keeper", _run, metrics_port)
-
-
 def main() -> None:
-    """Runs the program."""
-    cappa.invoke(start)
+    """Runs the program with the settings that the environment names."""
+    run_process("shallotstand-keeper", _run)
 
 
 if __name__ == "__main__":
--- a/libs/batches/src/shallotstand/batches/runner.py
+++ b/libs/batches/src/shallotstand/batches/runner.py
@@ -51,10 +51,9 @@
         self._is_running = False
         book.subscribe(self._review)
 
-    @property
-    def running(self) -> int:
-        """Number of batches that run here."""
-        return len(self._tasks_by_batch)
+    def running(self) -> tuple[str, ...]:
+        """Returns the identifiers of the batches that run here."""
+        return tuple(self._tasks_by_batch)
 
     async def run(self) -> None:
         """Reviews all batches until cancelled.
--- a/libs/batches/tests/test_runner.py
+++ b/libs/batches/tests/test_runner.py
@@ -60,7 +60,7 @@
         batch = submission("batch", *(item(f"i{n}") for n in range(6)))
         await world.log.add_submission(batch, soon(world))
         await until(lambda: world.batches.by_id["batch"].is_complete)
-        await until(lambda: runner.running == 0)
+        await until(lambda: not runner.running())
 
     run(world, scenario)
 
@@ -72,7 +72,7 @@
         known = await world.log.add_submission(batch, soon(world))
         await until(lambda: len(world.engines.sent) == 2)
         await world.log.add_end(known, soon(world))
-        await until(lambda: runner.running == 0)
+        await until(lambda: not runner.running())
         assert world.batches.by_id["batch"].results == []
 
     run(world, scenario)
@@ -104,7 +104,7 @@
         await until(lambda: len(world.engines.sent) == 1)
         listed = Result("a", ResultState.COMPLETED, "text", (1,), "seal")
         await world.log.append(known, [listed])
-        await until(lambda: runner.running == 0)
+        await until(lambda: not runner.running())
 
     run(world, scenario)
 
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -247,6 +247,7 @@
   processId @1 :Text;
   reachesStore @2 :Bool;
   uses @3 :List(EndpointUse);
+  batches @4 :List(Text);
 }
 
 struct Envelope {
--- a/libs/link/src/shallotstand/link/messages.py
+++ b/libs/link/src/shallotstand/link/messages.py
@@ -480,12 +480,14 @@
       process_id: Identifier of the process; new at each start.
       reaches_store: Whether it can write to the store and takes work.
       uses: What it runs, by endpoint.
+      batches: Identifiers of the batches that it runs.
     """
 
     node: str
     process_id: str
     reaches_store: bool
     uses: tuple[EndpointUse, ...]
+    batches: tuple[str, ...] = ()
 
 
 Message: TypeAlias = (
--- a/libs/peers/src/shallotstand/peers/mesh.py
+++ b/libs/peers/src/shallotstand/peers/mesh.py
@@ -3,7 +3,7 @@
 import asyncio
 import collections
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from absl import logging
 from shallotstand.core import logs
@@ -98,25 +98,19 @@
     def is_working(self, process_id: str) -> bool:
         """Says whether a process lives and can write to the store."""
         return any(
-            state.presence is not None
-            and state.presence.process_id == process_id
-            and state.presence.reaches_store
-            and self._is_alive(state)
-            for state in self._states_by_node.values()
+            presence.process_id == process_id for presence in self._working()
         )
 
+    def is_run(self, batch_id: str) -> bool:
+        """Says whether a working peer runs a batch."""
+        return any(batch_id in presence.batches for presence in self._working())
+
     def first_for(self, name: str) -> str:
         """Returns the working process that comes first for some work.
 
         All processes that know the same peers return the same one.
         """
-        working = [
-            state.presence.process_id
-            for state in self._states_by_node.values()
-            if state.presence is not None
-            and state.presence.reaches_store
-            and self._is_alive(state)
-        ]
+        working = [presence.process_id for presence in self._working()]
         if self._describe().reaches_store:
             working.append(self._own.process_id)
         return max(
@@ -134,6 +128,15 @@
                     running[use.endpoint] += use.running
         return running
 
+    def _working(self) -> Iterator[Presence]:
+        return (
+            state.presence
+            for state in self._states_by_node.values()
+            if state.presence is not None
+            and state.presence.reaches_store
+            and self._is_alive(state)
+        )
+
     def _is_alive(self, state: _PeerState) -> bool:
         now = self._clock.monotonic()
         if state.is_connected:
--- /dev/null
+++ b/libs/peers/tests/test_mesh.py
@@ -0,0 +1,145 @@
+"""Gateways notice each other's start, loss of the store, and end."""
+
+import asyncio
+
+from shallotstand.core.clock import SystemClock
+from shallotstand.documents.protocols import Change
+from shallotstand.link.messages import EndpointUse, Presence
+from shallotstand.peers.mesh import PeerMesh
+from shallotstand.peers.registry import (
+    GATEWAYS_KIND,
+    PeerAddress,
+    PeerRegistry,
+)
+from shallotstand.standins.memory_documents import MemoryDocuments
+from shallotstand.standins.processes import free_address
+
+
+class Gateway:
+    """One gateway's part of the mesh."""
+
+    def __init__(self, store, node, boot=1):
+        address = free_address()
+        host, _, port = str(address).rpartition(":")
+        self.own = PeerAddress(node, f"{node}.{boot}", host, int(port))
+        self.reaches_store = True
+        self.batches = ()
+        self.uses = ()
+        self.registry = PeerRegistry(store, self.own)
+        self.mesh = PeerMesh(
+            self.own, self.registry, self.presence, SystemClock()
+        )
+        self.store = store
+        self.tasks = []
+
+    def presence(self):
+        return Presence(
+            self.own.node,
+            self.own.process_id,
+            self.reaches_store,
+            self.uses,
+            self.batches,
+        )
+
+    async def start(self):
+        await self.registry.register()
+        self.tasks.append(asyncio.create_task(self.mesh.run()))
+
+    async def look(self):
+        for document in (await self.store.list(GATEWAYS_KIND)).documents:
+            self.registry.take(Change(document, False))
+
+    async def stop(self):
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for link in list(self.mesh._links):
+            await link.close()
+
+
+def run(scenario, count=3):
+    async def start():
+        store = MemoryDocuments()
+        gateways = [Gateway(store, f"node-{n}") for n in range(count)]
+        for gateway in gateways:
+            await gateway.start()
+        for gateway in gateways:
+            await gateway.look()
+        try:
+            await asyncio.wait_for(scenario(*gateways), 15)
+        finally:
+            for gateway in gateways:
+                await gateway.stop()
+
+    asyncio.run(start())
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.02)
+
+
+def connected(gateways):
+    return all(
+        gateway.mesh.is_working(other.own.process_id)
+        for gateway in gateways
+        for other in gateways
+        if other is not gateway
+    )
+
+
+def test_all_agree_on_the_first_process_for_a_batch():
+    async def scenario(*gateways):
+        await until(lambda: connected(gateways))
+        for name in ("a", "b", "c", "d"):
+            firsts = {gateway.mesh.first_for(name) for gateway in gateways}
+            assert len(firsts) == 1
+
+    run(scenario)
+
+
+def test_ended_process_stops_working_at_once():
+    async def scenario(first, second, third):
+        await until(lambda: connected((first, second, third)))
+        await second.stop()
+        started = SystemClock().monotonic()
+        await until(
+            lambda: (
+                not first.mesh.is_working(second.own.process_id)
+                and not third.mesh.is_working(second.own.process_id)
+            )
+        )
+        assert SystemClock().monotonic() - started < 1.5
+
+    run(scenario)
+
+
+def test_process_without_the_store_gets_no_work():
+    async def scenario(first, second):
+        await until(lambda: connected((first, second)))
+        second.reaches_store = False
+        await until(lambda: not first.mesh.is_working(second.own.process_id))
+        assert first.mesh.first_for("batch") == first.own.process_id
+
+    run(scenario, 2)
+
+
+def test_peers_tell_what_they_run():
+    async def scenario(first, second):
+        second.batches = ("batch",)
+        second.uses = (EndpointUse("engine", 3),)
+        await until(lambda: first.mesh.is_run("batch"))
+        assert first.mesh.running_by_endpoint() == {"engine": 3}
+        assert not second.mesh.is_run("batch")
+
+    run(scenario, 2)
+
+
+def test_restarted_process_replaces_its_record():
+    async def scenario(first, second):
+        again = Gateway(first.store, "node-1", boot=2)
+        await again.registry.register()
+        await first.look()
+        assert first.registry.by_node["node-1"].process_id == "node-1.2"
+
+    run(scenario, 2)
--- a/pages/reference.py
+++ b/pages/reference.py
@@ -3,6 +3,7 @@
 import pathlib
 from collections.abc import Iterable
 
+from shallotstand.adapter.settings import TABLE as PLATFORM
 from shallotstand.controller.settings import TABLE as CONTROLLER
 from shallotstand.entry.settings import TABLE as ENTRY
 from shallotstand.load.settings import TABLE as LOAD
@@ -19,6 +20,7 @@
     ("shallotstand-entry", ENTRY),
     ("shallotstand-sidecar", SIDECAR),
     ("shallotstand-controller", CONTROLLER),
+    ("shallotstand-gateway, shallotstand-keeper", PLATFORM),
     ("shallotstand-load", LOAD),
     ("shallotstand-standins", STANDINS),
 )
