Readiness only once callers can connect; the real programs on stand-ins of the platform

Cause: test_killed_gateways_batch_is_finished_elsewhere failed once with a refused connection: the readiness address answers 200 as soon as everything is read, some milliseconds before the address for callers listens. Ruled out: an end of the process (its log goes on). Change: readiness waits for the listener.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -133,6 +133,7 @@
         )
         for follower in self._followers[1:]:
             self._config_follower.subscribe(follower.restart_call)
+        self._is_listening = False
         self._activity = Activity()
         self._front = Front(
             FrontParts(
@@ -163,6 +164,7 @@
         await self._config_follower.wait_synced()
         await self._endpoint_follower.wait_synced()
         front_server = await _listen(self._front.make_app(), self._boot.front)
+        self._is_listening = True
         logs.event(
             logging.INFO,
             "Started",
@@ -205,7 +207,7 @@
         await self._activity.wait_idle(left_s)
 
     def _is_ready(self) -> bool:
-        if self._front.is_draining:
+        if self._front.is_draining or not self._is_listening:
             return False
         failing_since = self._config_follower.failing_since
         if failing_since is not None and (
--- /dev/null
+++ b/apps/standins/src/shallotstand/standins/fleet_platform.py
@@ -0,0 +1,174 @@
+"""The fleet platform's store and report interface over HTTP, in memory."""
+
+from typing import Any
+
+import orjson
+from aiohttp import web
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.documents.protocols import Document
+from shallotstand.standins.memory_documents import MemoryDocuments
+
+_STATUS_BY_CODE = {
+    ResultCode.OBJECT_NOT_FOUND: 404,
+    ResultCode.VERSION_CONFLICT: 409,
+    ResultCode.HISTORY_GONE: 410,
+    ResultCode.STORE_UNAVAILABLE: 503,
+}
+_PAGE_ITEMS = 50
+
+
+class FleetPlatform:
+    """Serves a store of documents as the platform does.
+
+    Attributes:
+      documents: The objects.
+      reports: Usage reports as they came: window, counts, holder, fence.
+    """
+
+    def __init__(self) -> None:
+        self.documents = MemoryDocuments()
+        self.reports: list[tuple[int, dict[str, int], str, int]] = []
+        self._runner: web.AppRunner | None = None
+
+    async def start(self) -> str:
+        """Listens on loopback and returns the address."""
+        app = web.Application(client_max_size=4 << 20)
+        path = "/shallotstand/objects/{kind}"
+        app.router.add_get(path, self._list_or_watch)
+        app.router.add_post(path, self._create)
+        app.router.add_get(path + "/{name}", self._get)
+        app.router.add_put(path + "/{name}", self._replace)
+        app.router.add_delete(path + "/{name}", self._delete)
+        app.router.add_put(path + "/{name}/status", self._set_status)
+        app.router.add_post("/usage", self._take_report)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = self._runner.addresses[0][:2]
+        return f"{host}:{port}"
+
+    async def stop(self) -> None:
+        """Stops listening."""
+        await self._runner.cleanup()
+
+    async def put(self, kind: str, name: str, spec: Any) -> None:
+        """Writes an object as an operator, engine or trainer does."""
+        known = await self.documents.get(kind, name)
+        if isinstance(known, Failure):
+            await self.documents.create(kind, name, spec)
+        else:
+            await self.documents.replace(kind, name, spec, known.revision)
+
+    async def _list_or_watch(self, request: web.Request) -> web.Response:
+        kind, query = request.match_info["kind"], request.query
+        if "watch" in query:
+            changes = await self.documents.watch(
+                kind, int(query["watch"]), int(query["wait_ms"]) / 1000
+            )
+            if isinstance(changes, Failure):
+                return _failed(changes)
+            events = [
+                {"object": _encode(change.document), "removed": is_removed}
+                for change in changes.changes
+                for is_removed in (change.is_removed,)
+            ]
+            return _json({"events": events, "as_of": changes.revision})
+        listing = await self.documents.list(kind)
+        if isinstance(listing, Failure):
+            return _failed(listing)
+        after = query.get("after", "")
+        documents = sorted(
+            (item for item in listing.documents if item.name > after),
+            key=lambda document: document.name,
+        )
+        return _json(
+            {
+                "items": list(map(_encode, documents[:_PAGE_ITEMS])),
+                "more": len(documents) > _PAGE_ITEMS,
+                "as_of": listing.revision,
+            }
+        )
+
+    async def _get(self, request: web.Request) -> web.Response:
+        names = request.match_info
+        return _answer(await self.documents.get(names["kind"], names["name"]))
+
+    async def _create(self, request: web.Request) -> web.Response:
+        body = orjson.loads(await request.read())
+        return _answer(
+            await self.documents.create(
+                request.match_info["kind"],
+                body["metadata"]["name"],
+                body["spec"],
+            )
+        )
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        body = orjson.loads(await request.read())
+        names = request.match_info
+        return _answer(
+            await self.documents.replace(
+                names["kind"],
+                names["name"],
+                body["spec"],
+                body["metadata"]["revision"],
+            )
+        )
+
+    async def _set_status(self, request: web.Request) -> web.Response:
+        body = orjson.loads(await request.read())
+        names = request.match_info
+        return _answer(
+            await self.documents.set_status(
+                names["kind"],
+                names["name"],
+                body["status"],
+                body["metadata"]["revision"],
+            )
+        )
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        names = request.match_info
+        failure = await self.documents.delete(names["kind"], names["name"])
+        return _json({}) if failure is None else _failed(failure)
+
+    async def _take_report(self, request: web.Request) -> web.Response:
+        body = orjson.loads(await request.read())
+        fence = int(request.headers["X-Shallotstand-Fence-Token"])
+        if any(fence < report[3] for report in self.reports):
+            return web.Response(status=409)
+        holder = request.headers["X-Shallotstand-Duty-Holder"]
+        self.reports.append((body["window"], body["counts"], holder, fence))
+        return _json({})
+
+
+def _encode(document: Document) -> dict[str, Any]:
+    return {
+        "metadata": {
+            "name": document.name,
+            "revision": document.revision,
+            "created": 1,
+            "finalizers": [],
+            "deleting": False,
+        },
+        "spec": document.spec,
+        "status": document.status,
+    }
+
+
+def _answer(outcome: Document | Failure) -> web.Response:
+    if isinstance(outcome, Failure):
+        return _failed(outcome)
+    return _json(_encode(outcome))
+
+
+def _failed(failure: Failure) -> web.Response:
+    return web.Response(status=_STATUS_BY_CODE[failure.code])
+
+
+def _json(body: dict[str, Any]) -> web.Response:
+    return web.Response(
+        body=orjson.dumps(body), content_type="application/json"
+    )
