Checkpoint texts in progress; merge the log's watch returns

Ruled out: sending texts to a peer (the last fault takes the peers, too). Change: a gateway keeps its texts in one object, written each 0.8 s if they grew; whoever takes a batch over goes on from them. The log is watched with 0.3 s between calls.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -16,6 +16,7 @@
 from shallotstand.adapter.process import run_process, stop_event
 from shallotstand.adapter.store import PlatformStore
 from shallotstand.batches.book import BatchBook
+from shallotstand.batches.checkpoints import Checkpoints
 from shallotstand.batches.item_run import Tools
 from shallotstand.batches.log import BatchLog
 from shallotstand.batches.records import LOG_KIND
@@ -52,6 +53,9 @@
 UNLISTED_S = 3.0
 # Reserve before the platform kills the process.
 EXIT_RESERVE_S = 0.7
+# Results of other gateways that are listed within this time cost one call; a
+# trainer mostly reads where its batch runs, and that process knows at once.
+LOG_PAUSE_S = 0.3
 # Other gateways are registered at their start only; an old list costs time in
 # finding them, and each peer also dials.
 REGISTRY_WAIT_S = 10.0
@@ -100,8 +104,14 @@
         self._mesh = PeerMesh(own, self._registry, self._presence, clock)
         self._endpoints.count_peers(self._mesh.running_by_endpoint)
         ownership = MeshOwnership(process_id, boot.node, self._mesh)
+        self._checkpoints = Checkpoints(self._store, boot.node)
         self._runner = BatchRunner(
-            tools, self._batches, log, ownership, process_id
+            tools,
+            self._batches,
+            log,
+            ownership,
+            self._checkpoints,
+            process_id,
         )
         self._config_follower = Follower(
             self._store,
@@ -117,7 +127,11 @@
             ENDPOINTS_PAUSE_S,
         )
         self._batch_follower = Follower(
-            self._store, LOG_KIND, self._batches.take, clock
+            self._store,
+            LOG_KIND,
+            self._batches.take,
+            clock,
+            LOG_PAUSE_S,
         )
         self._followers = (
             self._config_follower,
@@ -178,6 +192,7 @@
                 self._registry.register,
                 self._mesh.run,
                 self._runner.run,
+                self._checkpoints.run,
                 self._usage_writer.run,
             )
         ]
--- a/libs/batches/src/shallotstand/batches/runner.py
+++ b/libs/batches/src/shallotstand/batches/runner.py
@@ -5,6 +5,7 @@
 
 from absl import logging
 from shallotstand.batches.book import Batch, BatchBook
+from shallotstand.batches.checkpoints import Checkpoints
 from shallotstand.batches.item_run import ItemRun, Tools
 from shallotstand.batches.log import BatchLog
 from shallotstand.batches.progress import Progress, ProgressCache
@@ -39,12 +40,14 @@
         book: BatchBook,
         log: BatchLog,
         ownership: Ownership,
+        checkpoints: Checkpoints,
         process_id: str,
     ):
         self._tools = tools
         self._book = book
         self._log = log
         self._ownership = ownership
+        self._checkpoints = checkpoints
         self._process_id = process_id
         self._texts = ProgressCache()
         self._tasks_by_batch: dict[str, asyncio.Task] = {}
@@ -114,6 +117,7 @@
         if batch.submission.owner != self._process_id:
             # This process may not have heard of the batch's end yet.
             await self._confirm_open(batch)
+            await self._take_texts(batch)
         finished: asyncio.Queue[Result] = asyncio.Queue()
         async with asyncio.TaskGroup() as group:
             tasks_by_item = {
@@ -139,6 +143,24 @@
             await asyncio.sleep(REVIEW_S)
             failure = await self._log.confirm_open(batch)
 
+    async def _take_texts(self, batch: Batch) -> None:
+        """Takes what other processes had generated of a batch."""
+        progress_by_item = await self._checkpoints.load()
+        if isinstance(progress_by_item, Failure):
+            return
+        taken = [
+            item for item in batch.unlisted() if item.id in progress_by_item
+        ]
+        for item in taken:
+            self._texts.keep(item, progress_by_item[item.id])
+        logs.event(
+            logging.INFO,
+            "Texts taken over",
+            batch=batch.id,
+            texts=len(taken),
+            events=sum(len(progress_by_item[i.id].events) for i in taken),
+        )
+
     async def _list_results(
         self, batch: Batch, finished: asyncio.Queue[Result]
     ) -> None:
@@ -173,6 +195,7 @@
             progress,
             self._rank(batch, item),
         )
+        self._checkpoints.begin(item.id, progress)
         try:
             async with asyncio.timeout(self._time_left_s(batch)):
                 result = await run.run()
@@ -187,6 +210,7 @@
             result = Result(item.id, ResultState.LOST, "", (), "")
         finally:
             self._texts.keep(item, progress)
+            self._checkpoints.end(item.id)
         finished.put_nowait(result)
 
     def _text_of(self, batch: Batch, item: Item) -> Progress:
--- a/libs/batches/tests/test_runner.py
+++ b/libs/batches/tests/test_runner.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from shallotstand.batches.checkpoints import PROGRESS_KIND, Checkpoints
+from shallotstand.batches.progress import Progress
 from shallotstand.batches.records import (
     END_SUFFIX,
     LOG_KIND,
@@ -34,7 +36,12 @@
 
     async def start():
         runner = BatchRunner(
-            world.tools, world.batches, world.log, Mine(), "gateway-1"
+            world.tools,
+            world.batches,
+            world.log,
+            Mine(),
+            Checkpoints(world.store, "node-1"),
+            "gateway-1",
         )
         task = asyncio.create_task(runner.run())
         try:
@@ -126,3 +133,29 @@
         assert [s.endpoint for s in world.engines.sent[sent:]] == ["s"]
 
     run(world, scenario)
+
+
+def test_texts_that_another_process_left_are_gone_on_with(world):
+    def stream(sent):
+        last = sent.call.last_event_id or 0
+        return MemoryStream(events(last + 1, 12), 1)
+
+    async def scenario(runner):
+        world.engines.stream = stream
+        other = Checkpoints(world.store, "node-2")
+        progress = Progress()
+        progress.events = [event.data for event in events(1, 8)]
+        progress.versions = [1] * 8
+        other.begin("a", progress)
+        writing = asyncio.create_task(other.run())
+        await until(lambda: world.store.calls["create", PROGRESS_KIND])
+        writing.cancel()
+        batch = submission("batch", item("a"), owner="gateway-2")
+        await world.log.add_submission(batch, soon(world))
+        await until(lambda: world.batches.by_id["batch"].is_complete)
+        assert world.engines.sent[0].call.last_event_id == 8
+        assert world.batches.by_id["batch"].results[0].text == "\n".join(
+            event.data for event in events(1, 12)
+        )
+
+    run(world, scenario)
--- /dev/null
+++ b/libs/documents/src/shallotstand/documents/own_document.py
@@ -0,0 +1,43 @@
+"""An object that only one process writes."""
+
+from typing import Any
+
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.documents.protocols import DocumentStore
+
+
+class OwnDocument:
+    """Writes an object, whatever became of earlier writes."""
+
+    def __init__(self, store: DocumentStore, kind: str, name: str):
+        self._store = store
+        self._kind = kind
+        self._name = name
+        self._revision = 0
+
+    async def write(self, spec: Any) -> Failure | None:
+        """Creates or replaces the object.
+
+        Errors:
+          STORE_UNAVAILABLE, OUTCOME_UNKNOWN, VERSION_CONFLICT: Try again.
+        """
+        if self._revision:
+            outcome = await self._store.replace(
+                self._kind, self._name, spec, self._revision
+            )
+        else:
+            outcome = await self._store.create(self._kind, self._name, spec)
+        if not isinstance(outcome, Failure):
+            self._revision = outcome.revision
+            return None
+        if outcome.code in (
+            ResultCode.VERSION_CONFLICT,
+            ResultCode.OUTCOME_UNKNOWN,
+        ):
+            # An earlier write that got no answer, or an earlier process of
+            # this machine, has changed it.
+            current = await self._store.get(self._kind, self._name)
+            if not isinstance(current, Failure):
+                self._revision = current.revision
+        return outcome
--- a/libs/duties/src/shallotstand/duties/usage_counts.py
+++ b/libs/duties/src/shallotstand/duties/usage_counts.py
@@ -6,9 +6,9 @@
 from absl import logging
 from shallotstand.core import logs
 from shallotstand.core.clock import Clock
-from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.usage import UsageMeter
+from shallotstand.documents.own_document import OwnDocument
 from shallotstand.documents.protocols import DocumentStore
 
 COUNTS_KIND = "usage-counts"
@@ -41,11 +41,9 @@
         process_id: str,
         clock: Clock,
     ):
-        self._store = store
+        self._document = OwnDocument(store, COUNTS_KIND, process_id)
         self._meter = meter
-        self._process_id = process_id
         self._clock = clock
-        self._revision = 0
 
     async def run(self) -> None:
         """Writes until cancelled."""
@@ -79,24 +77,4 @@
             },
             has_stopped=has_stopped,
         )
-        if self._revision:
-            outcome = await self._store.replace(
-                COUNTS_KIND, self._process_id, record, self._revision
-            )
-        else:
-            outcome = await self._store.create(
-                COUNTS_KIND, self._process_id, record
-            )
-        if not isinstance(outcome, Failure):
-            self._revision = outcome.revision
-            return None
-        if outcome.code in (
-            ResultCode.VERSION_CONFLICT,
-            ResultCode.OUTCOME_UNKNOWN,
-        ):
-            # Nobody else writes this object, so an earlier write that got no
-            # answer has changed it.
-            current = await self._store.get(COUNTS_KIND, self._process_id)
-            if not isinstance(current, Failure):
-                self._revision = current.revision
-        return outcome
+        return await self._document.write(record)
