--- a/apps/cli/src/shallotstand/cli/main.py
+++ b/apps/cli/src/shallotstand/cli/main.py
@@ -4,7 +4,7 @@
 from typing import Annotated, Any
 
 import cappa
-from shallotstand.cli import acts
+from shallotstand.cli import acts, log_trace
 from shallotstand.cli.client import Server
 from shallotstand.cli.output import (
     finish,
@@ -182,6 +182,42 @@
     finish(burns, json, lambda rows: render_text(from_json(rows)))
 
 
+@cappa.command(
+    name="trace", description=_example("trace 9c41d07be2a35f68 *.log")
+)
+def trace_request(
+    wanted: Annotated[
+        str, cappa.Arg(help="Identifier of a request, batch or item.")
+    ],
+    files: Annotated[list[str], cappa.Arg(help="Logs of the processes.")],
+    json: Json = False,
+) -> None:
+    """Follows one identifier through the logs of several processes."""
+    lines = log_trace.read_logs(files)
+    if not isinstance(lines, Failure):
+        lines = log_trace.trace(lines, wanted)
+    if isinstance(lines, Failure):
+        finish(lines, json, render_fields)
+        return
+    finish(
+        {"lines": [line._asdict() for line in lines]},
+        json,
+        lambda _: log_trace.render_trace(lines),
+    )
+
+
+@cappa.command(name="summary", description=_example("summary *.log"))
+def summarise_logs(
+    files: Annotated[list[str], cappa.Arg(help="Logs of the processes.")],
+    json: Json = False,
+) -> None:
+    """Counts what the logs of several processes tell, by cause."""
+    lines = log_trace.read_logs(files)
+    if not isinstance(lines, Failure):
+        lines = {"causes": log_trace.summarise(lines)}
+    finish(lines, json, lambda result: render_rows(result["causes"]))
+
+
 def _group(name: str, meaning: str, *members: Callable) -> Callable:
     """Returns a command that has subcommands."""
     collected = map(cappa.collect, members)
@@ -212,6 +248,8 @@
         quarantine_release,
     ),
     usage,
+    trace_request,
+    summarise_logs,
     _group("report", "Reports.", report_burn),
 )
 
