Try an engine that refused with one request; no takeover just after an outage

Ruled out: engines full (num_running stayed under the slots); running streams had reset the pause at each event. Change: pauses after refusals are kept by model, one request tries the engine, its first event opens it; a process that regains the store waits 1.5 s for its peers before it takes anything over. The new tests failed before.

--- a/libs/batches/src/shallotstand/batches/item_run.py
+++ b/libs/batches/src/shallotstand/batches/item_run.py
@@ -209,6 +209,8 @@
             failure = self._add(event, version, route)
             if failure is not None:
                 return failure
+            if not pace.events:
+                self._tools.book.note_start(endpoint, self._item.model)
             pace.add_event()
             self._note(endpoint, version, pace)
             if self._should_move(endpoint, route, pace):
@@ -276,7 +278,7 @@
                 return self._lost(f"status {outcome.status}")
             return None
         if is_not_run(outcome.code):
-            self._tools.book.note_refusal(endpoint)
+            self._tools.book.note_refusal(endpoint, self._item.model)
             return None
         if outcome.code != ResultCode.SAMPLE_STALE:
             self._tools.book.note_failure(endpoint, outcome.reason, started)
--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -1,6 +1,7 @@
 """The endpoints of every service, as one process knows them."""
 
 import collections
+import itertools
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
@@ -15,10 +16,10 @@
 # further failure in a row; crashed engines are back after some seconds.
 FIRST_PENALTY_S = 0.4
 LAST_PENALTY_S = 3.0
-# An engine that loads weights refuses requests for about a second; a full one
-# has room again soon. The pause doubles with each refusal in a row.
+# An engine that loads weights refuses requests for the model for about a
+# second; a full one has room again soon. The pause doubles with each refusal.
 FIRST_REFUSAL_S = 0.1
-LAST_REFUSAL_S = 0.5
+LAST_REFUSAL_S = 0.25
 # Weight of the newest measurement in an endpoint's pace.
 PACE_SMOOTHING = 0.3
 
@@ -53,7 +54,8 @@
     def __init__(self) -> None:
         self.in_flight = 0
         self.failures = 0
-        self.refusals = 0
+        self.refusals_by_model: collections.Counter[str] = collections.Counter()
+        self.refused_until_by_model: dict[str, float] = {}
         self.closed_until = 0.0
         self.succeeded_at = float("-inf")
         self.pace: float | None = None
@@ -133,14 +135,18 @@
         self._forget(endpoint_id)
 
     def candidates(
-        self, service: str, excluded: frozenset[str] = frozenset()
+        self,
+        service: str,
+        excluded: frozenset[str] = frozenset(),
+        model: str = "",
     ) -> list[Endpoint]:
         """Returns the usable endpoints of a service, the best first."""
         return sorted(
             (
                 endpoint
                 for endpoint in self._of_service(service)
-                if endpoint.id not in excluded and self.is_open(endpoint.id)
+                if endpoint.id not in excluded
+                and self.is_open(endpoint.id, model)
             ),
             key=self.cost,
         )
@@ -153,20 +159,24 @@
         """Returns the slots that this process and its peers leave free."""
         return endpoint.slots - self._load(endpoint)
 
-    def is_open(self, endpoint_id: str) -> bool:
-        """Says whether the endpoint is not in a pause after failures."""
+    def is_open(self, endpoint_id: str, model: str = "") -> bool:
+        """Says whether the endpoint is in no pause after failures."""
         health = self._health_by_id[endpoint_id]
-        return health.closed_until <= self._clock.monotonic()
+        refused_until = health.refused_until_by_model.get(model, 0.0)
+        now = self._clock.monotonic()
+        return max(health.closed_until, refused_until) <= now
 
     def reopens_in_s(self, service: str) -> float | None:
         """Returns the seconds until the next pause of an endpoint ends."""
         now = self._clock.monotonic()
-        pauses = [
-            self._health_by_id[endpoint.id].closed_until - now
-            for endpoint in self._of_service(service)
-            if self._health_by_id[endpoint.id].closed_until > now
-        ]
-        return min(pauses, default=None)
+        ends = itertools.chain.from_iterable(
+            (health.closed_until, *health.refused_until_by_model.values())
+            for health in (
+                self._health_by_id[endpoint.id]
+                for endpoint in self._of_service(service)
+            )
+        )
+        return min((end - now for end in ends if end > now), default=None)
 
     def cost(self, endpoint: Endpoint) -> float:
         """Returns an estimate of the wait at an endpoint; less is better."""
@@ -186,15 +196,31 @@
             self._health_by_id[endpoint.id].version_by_model.get(model, 0),
         )
 
-    def begin(self, endpoint: Endpoint) -> None:
-        """Notes that a request goes to an endpoint."""
-        self._health_by_id[endpoint.id].in_flight += 1
+    def begin(self, endpoint: Endpoint, model: str = "") -> None:
+        """Notes that a request goes to an endpoint.
+
+        After a refusal one request tries the endpoint; the others wait until
+        that one has begun.
+        """
+        health = self._health_by_id[endpoint.id]
+        health.in_flight += 1
+        if health.refusals_by_model[model]:
+            health.refused_until_by_model[model] = (
+                self._clock.monotonic() + LAST_REFUSAL_S
+            )
 
     def end(self, endpoint: Endpoint) -> None:
         """Notes that a request at an endpoint has ended."""
         self._health_by_id[endpoint.id].in_flight -= 1
         self._notify()
 
+    def note_start(self, endpoint: Endpoint, model: str = "") -> None:
+        """Notes that an endpoint began a request instead of refusing it."""
+        health = self._health_by_id[endpoint.id]
+        if health.refusals_by_model.pop(model, 0):
+            health.refused_until_by_model.pop(model, None)
+            self._notify()
+
     def note_success(self, endpoint: Endpoint, pace: float) -> None:
         """Notes that an endpoint works.
 
@@ -203,7 +229,7 @@
           pace: Seconds for a unit of work, comparable within a service.
         """
         health = self._health_by_id[endpoint.id]
-        health.failures = health.refusals = 0
+        health.failures = 0
         health.closed_until = 0.0
         health.succeeded_at = self._clock.monotonic()
         known = pace if health.pace is None else health.pace
@@ -213,14 +239,13 @@
         """Notes the version of a model that an answer named."""
         self._health_by_id[endpoint.id].version_by_model[model] = number
 
-    def note_refusal(self, endpoint: Endpoint) -> None:
+    def note_refusal(self, endpoint: Endpoint, model: str = "") -> None:
         """Notes that an endpoint refused a request without running it."""
         health = self._health_by_id[endpoint.id]
-        pause_s = min(LAST_REFUSAL_S, FIRST_REFUSAL_S * 2**health.refusals)
-        health.refusals += 1
-        health.closed_until = max(
-            health.closed_until, self._clock.monotonic() + pause_s
-        )
+        refusals = health.refusals_by_model[model]
+        pause_s = min(LAST_REFUSAL_S, FIRST_REFUSAL_S * 2**refusals)
+        health.refusals_by_model[model] += 1
+        health.refused_until_by_model[model] = self._clock.monotonic() + pause_s
 
     def note_failure(
         self, endpoint: Endpoint, reason: str, started: float
--- a/libs/dispatch/src/shallotstand/dispatch/plain.py
+++ b/libs/dispatch/src/shallotstand/dispatch/plain.py
@@ -277,6 +277,7 @@
             return None
         self._note_begun(attempt)
         took_s = self._clock.monotonic() - attempt.started
+        self._book.note_start(endpoint)
         self._book.note_success(endpoint, took_s)
         if outcome.status < 500:
             return outcome
--- a/libs/dispatch/src/shallotstand/dispatch/slots.py
+++ b/libs/dispatch/src/shallotstand/dispatch/slots.py
@@ -80,7 +80,7 @@
             if endpoint is None:
                 kept.append(entry)
                 continue
-            self._book.begin(endpoint)
+            self._book.begin(endpoint, need.model)
             future.set_result(endpoint)
         self._waiting = kept
         heapq.heapify(self._waiting)
@@ -112,7 +112,9 @@
         """Returns the engines with a free slot for an item, the best first."""
         return [
             endpoint
-            for endpoint in self._book.candidates(need.service)
+            for endpoint in self._book.candidates(
+                need.service, model=need.model
+            )
             if self._book.free_slots(endpoint) > 0
             and (
                 not need.model
--- a/libs/dispatch/src/shallotstand/dispatch/streams.py
+++ b/libs/dispatch/src/shallotstand/dispatch/streams.py
@@ -146,6 +146,7 @@
             return outcome
         if self.first_begun is None:
             self.first_begun = now
+        self._book.note_start(endpoint)
         self._stream = outcome
         return outcome
 
--- a/libs/peers/src/shallotstand/peers/mesh.py
+++ b/libs/peers/src/shallotstand/peers/mesh.py
@@ -22,7 +22,8 @@
 RECONNECT_GRACE_S = 0.6
 REDIAL_S = 0.25
 DIAL_TIMEOUT_S = 0.8
-# A process that just started waits this long for its peers to report.
+# A process that just started, or just regained the store, waits this long for
+# its peers to report the same.
 SETTLE_S = 1.5
 # A machine whose process never answered for this long is taken from the
 # registry.
@@ -65,7 +66,7 @@
         self._registry = registry
         self._describe = describe
         self._clock = clock
-        self._started_at = clock.monotonic()
+        self._reaching_since: float | None = None
         self._states_by_node: dict[str, _PeerState] = {}
         self._dials_by_node: dict[str, asyncio.Task] = {}
         self._links: set[Link] = set()
@@ -93,7 +94,9 @@
     @property
     def is_settled(self) -> bool:
         """Whether the peers that live have had time to report."""
-        return self._clock.monotonic() - self._started_at > SETTLE_S
+        if self._reaching_since is None:
+            return False
+        return self._clock.monotonic() - self._reaching_since > SETTLE_S
 
     def is_working(self, process_id: str) -> bool:
         """Says whether a process lives and can write to the store."""
@@ -145,6 +148,10 @@
 
     def _tell(self) -> None:
         presence = self._describe()
+        if not presence.reaches_store:
+            self._reaching_since = None
+        elif self._reaching_since is None:
+            self._reaching_since = self._clock.monotonic()
         for link in self._links:
             link.send(presence)
 
--- a/libs/peers/tests/test_mesh.py
+++ b/libs/peers/tests/test_mesh.py
@@ -143,3 +143,20 @@
         assert first.registry.by_node["node-1"].process_id == "node-1.2"
 
     run(scenario, 2)
+
+
+def test_nobody_takes_over_just_after_an_outage():
+    # All gateways regained the store at the same moment, each saw itself as
+    # the only one that had, and three ran the batches of a fourth (an
+    # incident of Temelna).
+    async def scenario(first, second):
+        await until(lambda: connected((first, second)))
+        await until(lambda: first.mesh.is_settled)
+        first.reaches_store = False
+        await until(lambda: not first.mesh.is_settled)
+        first.reaches_store = True
+        await asyncio.sleep(0.8)
+        assert not first.mesh.is_settled
+        await until(lambda: first.mesh.is_settled)
+
+    run(scenario, 2)
