--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -20,6 +20,7 @@
 from shallotstand.batches.item_run import Tools
 from shallotstand.batches.log import BatchLog
 from shallotstand.batches.records import LOG_KIND
+from shallotstand.batches.retention import Retention
 from shallotstand.batches.runner import BatchRunner
 from shallotstand.batches.service import BatchService
 from shallotstand.core import logs
@@ -113,6 +114,13 @@
             self._checkpoints,
             process_id,
         )
+        self._retention = Retention(
+            self._batches,
+            log,
+            boot.results_kept_s,
+            lambda batch_id: self._mesh.first_for(batch_id) == process_id,
+            clock,
+        )
         self._config_follower = Follower(
             self._store,
             names.CONFIG_KIND,
@@ -193,6 +201,7 @@
                 self._mesh.run,
                 self._runner.run,
                 self._checkpoints.run,
+                self._retention.run,
                 self._usage_writer.run,
             )
         ]
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -26,6 +26,7 @@
 {listen}
 [bounds]
 grace_s = 8
+status_ttl_s = 120
 report_window_s = {window}
 [platform]
 address = "{platform}"
