--- /dev/null
+++ b/apps/gateway/src/shallotstand/gateway/batching.py
@@ -0,0 +1,116 @@
+"""What accepts, runs and keeps batches in a gateway."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from shallotstand.adapter.boot import BootSettings
+from shallotstand.batches.book import BatchBook
+from shallotstand.batches.checkpoints import Checkpoints
+from shallotstand.batches.item_run import Tools
+from shallotstand.batches.log import BatchLog
+from shallotstand.batches.retention import Retention
+from shallotstand.batches.runner import BatchRunner
+from shallotstand.batches.service import BatchService
+from shallotstand.core.clock import Clock
+from shallotstand.dispatch.slots import SlotPool
+from shallotstand.documents.protocols import DocumentStore
+from shallotstand.gateway.ownership import MeshOwnership
+from shallotstand.gateway.serving import Serving
+from shallotstand.link.messages import Presence
+from shallotstand.peers.mesh import PeerMesh
+from shallotstand.peers.registry import PeerAddress, PeerRegistry
+
+
+class Identity(NamedTuple):
+    """A process and the machine that it runs on."""
+
+    boot: BootSettings
+    process_id: str
+
+    @property
+    def address(self) -> PeerAddress:
+        """Where peers reach the process."""
+        return PeerAddress(
+            self.boot.node,
+            self.process_id,
+            self.boot.internal_host,
+            self.boot.internal_ports[0],
+        )
+
+
+class Batching:
+    """The parts that have to do with batches.
+
+    Attributes:
+      book: The batches in the log.
+      service: Callers' calls on batches.
+      registry: Where the gateways find each other.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        store: DocumentStore,
+        serving: Serving,
+        describe: Callable[[], Presence],
+        clock: Clock,
+    ):
+        """Makes the parts.
+
+        Args:
+          identity: This process.
+          store: The store.
+          serving: What the items are run and scored with.
+          describe: Returns what this process tells its peers.
+          clock: Source of time.
+        """
+        boot, process_id = identity
+        self.book = BatchBook()
+        log = BatchLog(store, self.book, clock)
+        self.service = BatchService(self.book, log, clock)
+        self.registry = PeerRegistry(store, identity.address)
+        self._mesh = PeerMesh(identity.address, self.registry, describe, clock)
+        serving.endpoints.count_peers(self._mesh.running_by_endpoint)
+        self._checkpoints = Checkpoints(store, boot.node)
+        tools = Tools(
+            serving.endpoints,
+            SlotPool(serving.endpoints),
+            serving.client,
+            serving.plain,
+            lambda: serving.desk.configuration,
+            clock,
+        )
+        self._runner = BatchRunner(
+            tools,
+            self.book,
+            log,
+            MeshOwnership(process_id, boot.node, self._mesh),
+            self._checkpoints,
+            process_id,
+        )
+        self._retention = Retention(
+            self.book,
+            log,
+            boot.results_kept_s,
+            lambda batch_id: self._mesh.first_for(batch_id) == process_id,
+            clock,
+        )
+
+    def runs(self) -> tuple[Callable[[], Awaitable[None]], ...]:
+        """Returns what runs once the log has been read."""
+        return (
+            self.registry.register,
+            self._mesh.run,
+            self._runner.run,
+            self._checkpoints.run,
+            self._retention.run,
+        )
+
+    def running(self) -> tuple[str, ...]:
+        """Returns the identifiers of the batches that run here."""
+        return self._runner.running()
+
+    async def stop(self) -> None:
+        """Leaves the batches to other processes."""
+        self._mesh.tell_now()
+        await self._runner.stop()
--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -1,7 +1,8 @@
 """Puts the gateway process together and runs it until SIGTERM."""
 
 import asyncio
-import random
+import itertools
+from collections.abc import Callable
 
 from absl import logging
 from shallotstand.adapter import decode, names
@@ -15,36 +16,20 @@
 )
 from shallotstand.adapter.process import run_process, stop_event
 from shallotstand.adapter.store import PlatformStore
-from shallotstand.batches.book import BatchBook
-from shallotstand.batches.checkpoints import Checkpoints
-from shallotstand.batches.item_run import Tools
-from shallotstand.batches.log import BatchLog
 from shallotstand.batches.records import LOG_KIND
-from shallotstand.batches.retention import Retention
-from shallotstand.batches.runner import BatchRunner
-from shallotstand.batches.service import BatchService
 from shallotstand.core import logs
 from shallotstand.core.activity import Activity
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.failure import Failure
-from shallotstand.dispatch.desk import Desk
-from shallotstand.dispatch.endpoints import EndpointBook
-from shallotstand.dispatch.plain import PlainService
-from shallotstand.dispatch.slots import SlotPool
-from shallotstand.dispatch.usage import UsageMeter
-from shallotstand.documents.follower import Follower
+from shallotstand.documents.follower import WATCH_WAIT_S, Follower
 from shallotstand.documents.protocols import Change
 from shallotstand.duties.usage_counts import UsageWriter
-from shallotstand.gateway.ownership import MeshOwnership
+from shallotstand.gateway.batching import Batching, Identity
+from shallotstand.gateway.serving import Serving
 from shallotstand.link.messages import EndpointUse, Presence
 from shallotstand.observe.events import store_call_counter
 from shallotstand.observe.metrics import Metrics
-from shallotstand.peers.mesh import PeerMesh
-from shallotstand.peers.registry import (
-    GATEWAYS_KIND,
-    PeerAddress,
-    PeerRegistry,
-)
+from shallotstand.peers.registry import GATEWAYS_KIND
 
 # Changes of endpoints that come within this time cost one call; an endpoint
 # that leaves has to be left alone within two seconds.
@@ -68,102 +53,53 @@
     """The parts of a gateway process."""
 
     def __init__(self, boot: BootSettings, process_id: str, metrics: Metrics):
-        clock = SystemClock()
         self._boot = boot
         self._process_id = process_id
-        self._clock = clock
+        self._clock = SystemClock()
         self._store = PlatformStore(boot.store, store_call_counter(metrics))
         self._client = EngineClient(boot.node)
-        self._endpoints = EndpointBook(boot.zone, clock)
-        plain = PlainService(
-            self._endpoints, self._client, clock, random.Random()
-        )
-        self._meter = UsageMeter(boot.window_s, clock)
-        self._desk = Desk(
-            self._endpoints, self._client, plain, self._meter, clock
+        self._serving = Serving(boot, self._client, self._clock)
+        self._batching = Batching(
+            Identity(boot, process_id),
+            self._store,
+            self._serving,
+            self._presence,
+            self._clock,
         )
         self._usage_writer = UsageWriter(
-            self._store, self._meter, process_id, clock
+            self._store, self._serving.meter, process_id, self._clock
         )
-        self._batches = BatchBook()
-        log = BatchLog(self._store, self._batches, clock)
-        tools = Tools(
-            self._endpoints,
-            SlotPool(self._endpoints),
-            self._client,
-            plain,
-            lambda: self._desk.configuration,
-            clock,
+        self._config_follower = self._follower(
+            names.CONFIG_KIND, self._take_config
         )
-        own = PeerAddress(
-            boot.node,
-            process_id,
-            boot.internal_host,
-            boot.internal_ports[0],
+        self._endpoint_follower = self._follower(
+            names.ENDPOINTS_KIND, self._take_endpoint, ENDPOINTS_PAUSE_S
         )
-        self._registry = PeerRegistry(self._store, own)
-        self._mesh = PeerMesh(own, self._registry, self._presence, clock)
-        self._endpoints.count_peers(self._mesh.running_by_endpoint)
-        ownership = MeshOwnership(process_id, boot.node, self._mesh)
-        self._checkpoints = Checkpoints(self._store, boot.node)
-        self._runner = BatchRunner(
-            tools,
-            self._batches,
-            log,
-            ownership,
-            self._checkpoints,
-            process_id,
-        )
-        self._retention = Retention(
-            self._batches,
-            log,
-            boot.results_kept_s,
-            lambda batch_id: self._mesh.first_for(batch_id) == process_id,
-            clock,
-        )
-        self._config_follower = Follower(
-            self._store,
-            names.CONFIG_KIND,
-            self._take_config,
-            clock,
-        )
-        self._endpoint_follower = Follower(
-            self._store,
-            names.ENDPOINTS_KIND,
-            self._take_endpoint,
-            clock,
-            ENDPOINTS_PAUSE_S,
-        )
-        self._batch_follower = Follower(
-            self._store,
-            LOG_KIND,
-            self._batches.take,
-            clock,
-            LOG_PAUSE_S,
+        self._batch_follower = self._follower(
+            LOG_KIND, self._batching.book.take, LOG_PAUSE_S
         )
         self._followers = (
             self._config_follower,
             self._endpoint_follower,
             self._batch_follower,
-            Follower(
-                self._store,
+            self._follower(
                 GATEWAYS_KIND,
-                self._registry.take,
-                clock,
+                self._batching.registry.take,
                 wait_s=REGISTRY_WAIT_S,
             ),
         )
         for follower in self._followers[1:]:
             self._config_follower.subscribe(follower.restart_call)
+        self._front_server = None
         self._is_listening = False
         self._activity = Activity()
         self._front = Front(
             FrontParts(
-                self._desk,
-                BatchService(self._batches, log, clock),
+                self._serving.desk,
+                self._batching.service,
                 self._activity,
                 process_id,
-                clock,
+                self._clock,
             )
         )
 
@@ -183,9 +119,24 @@
         ready_server = await _listen(
             make_readiness_app(self._is_ready), self._boot.ready
         )
+        serving = asyncio.create_task(self._serve(tasks))
+        await stopping.wait()
+        serving.cancel()
+        await self._drain()
+        for task in tasks:
+            task.cancel()
+        await ready_server.close()
+        await self._client.close()
+        await self._store.close()
+        logs.event(logging.INFO, "Stopped")
+
+    async def _serve(self, tasks: list[asyncio.Task]) -> None:
+        """Starts to serve as the store tells what is needed for it."""
         await self._config_follower.wait_synced()
         await self._endpoint_follower.wait_synced()
-        front_server = await _listen(self._front.make_app(), self._boot.front)
+        self._front_server = await _listen(
+            self._front.make_app(), self._boot.front
+        )
         self._is_listening = True
         logs.event(
             logging.INFO,
@@ -194,38 +145,26 @@
             front=self._boot.front,
         )
         await self._batch_follower.wait_synced()
-        tasks += [
+        tasks.extend(
             asyncio.create_task(run())
-            for run in (
-                self._registry.register,
-                self._mesh.run,
-                self._runner.run,
-                self._checkpoints.run,
-                self._retention.run,
-                self._usage_writer.run,
-            )
-        ]
-        await stopping.wait()
-        await self._drain(front_server)
-        for task in tasks:
-            task.cancel()
-        await ready_server.close()
-        await self._client.close()
-        await self._store.close()
-        logs.event(logging.INFO, "Stopped")
+            for run in (*self._batching.runs(), self._usage_writer.run)
+        )
 
-    async def _drain(self, front_server) -> None:
+    async def _drain(self) -> None:
         """Lets callers finish; the batches go to other processes."""
         started = self._clock.monotonic()
         self._front.is_draining = True
         logs.event(logging.INFO, "Stopping", in_progress=self._activity.count)
-        self._mesh.tell_now()
-        await self._runner.stop()
-        await self._usage_writer.write(self._meter.current_window(), True)
+        if self._front_server is None:
+            return
+        await self._batching.stop()
+        await self._usage_writer.write(
+            self._serving.meter.current_window(), True
+        )
         await asyncio.sleep(
             max(0.0, UNLISTED_S - self._clock.monotonic() + started)
         )
-        await front_server.close()
+        await self._front_server.close()
         left_s = self._boot.shutdown_s - EXIT_RESERVE_S
         left_s -= self._clock.monotonic() - started
         await self._activity.wait_idle(left_s)
@@ -246,12 +185,22 @@
             self._process_id,
             self._is_ready(),
             tuple(
-                EndpointUse(endpoint, running)
-                for endpoint, running in self._endpoints.running_by_id().items()
+                itertools.starmap(
+                    EndpointUse, self._serving.endpoints.running_by_id().items()
+                )
             ),
-            self._runner.running(),
+            self._batching.running(),
         )
 
+    def _follower(
+        self,
+        kind: str,
+        take: Callable[[Change], None],
+        pause_s: float = 0.0,
+        wait_s: float = WATCH_WAIT_S,
+    ) -> Follower:
+        return Follower(self._store, kind, take, self._clock, pause_s, wait_s)
+
     def _take_config(self, change: Change) -> None:
         if change.is_removed or change.document.name != names.CONFIG_NAME:
             return
@@ -265,11 +214,14 @@
                 revision=change.document.revision,
             )
             return
-        self._desk.adopt(configuration)
+        self._serving.desk.adopt(configuration)
 
     def _take_endpoint(self, change: Change) -> None:
         take_endpoint(
-            self._endpoints, self._endpoint_follower, change, self._clock
+            self._serving.endpoints,
+            self._endpoint_follower,
+            change,
+            self._clock,
         )
 
 
