--- a/tests/test_separation.py
+++ b/tests/test_separation.py
@@ -1,5 +1,7 @@
 """Decisions stay apart from the encoding of messages."""
 
+import pathlib
+import re
 import subprocess
 import sys
 
@@ -14,7 +16,18 @@
 """
 
 
-@pytest.mark.parametrize("library", ["serving", "rollout", "control"])
+@pytest.mark.parametrize(
+    "library",
+    [
+        "serving",
+        "rollout",
+        "control",
+        "documents",
+        "dispatch",
+        "batches",
+        "duties",
+    ],
+)
 def test_decisions_import_neither_http_nor_capnp(library):
     # Another front end could not use the decisions without these libraries.
     result = subprocess.run(
@@ -24,3 +37,27 @@
         text=True,
     )
     assert result.stdout.split() == []
+
+
+_ROOT = pathlib.Path(__file__).parents[1]
+_PLATFORM_NAMES = re.compile(
+    r"x-shallotstand-|/shallotstand/(objects|lots|items|order|report)", re.I
+)
+
+
+def _sources(folder):
+    return [
+        path
+        for path in (_ROOT / folder).rglob("*.py")
+        if not {"tests", "standins", "build"} & set(path.parts)
+    ]
+
+
+def test_libraries_do_not_import_the_adapter():
+    for path in _sources("libs"):
+        assert "shallotstand.adapter" not in path.read_text("utf-8"), path
+
+
+def test_platforms_names_stand_only_in_the_adapter():
+    for path in [*_sources("libs"), *_sources("apps")]:
+        assert not _PLATFORM_NAMES.search(path.read_text("utf-8")), path
