--- a/tests/fleet.py
+++ b/apps/standins/src/shallotstand/standins/fleet.py
@@ -47,8 +47,13 @@
         self._directory = directory
         self.process: asyncio.subprocess.Process | None = None
 
-    async def start(self, platform: str) -> None:
-        """Starts the process; a gateway is waited for until it is ready."""
+    async def start(self, platform: str, is_awaited: bool = True) -> None:
+        """Starts the process.
+
+        Args:
+          platform: Address of the platform.
+          is_awaited: Whether to wait until a gateway is ready.
+        """
         listen = ""
         if self.role == "gateway":
             listen = f'front = "{self.front}"\nready = "{self.ready}"'
@@ -71,7 +76,7 @@
                 stdout=log,
                 stderr=log,
             )
-        if self.role == "gateway":
+        if self.role == "gateway" and is_awaited:
             await self._wait_ready()
 
     async def _wait_ready(self) -> None:
@@ -101,12 +106,13 @@
 class Fleet:
     """Platform, engines, gateways and keepers on loopback."""
 
-    def __init__(self, directory: pathlib.Path):
+    def __init__(self, directory: pathlib.Path, gateways: int = 2):
         self.platform = FleetPlatform()
         self.engines = [FleetEngine("e1"), FleetEngine("e2")]
         self.plain = FleetEngine("p1", pause_s=0.01)
         self.gateways = [
-            Machine(f"gateway-{n}", "gateway", directory) for n in range(2)
+            Machine(f"gateway-{n}", "gateway", directory)
+            for n in range(gateways)
         ]
         self.keepers = [
             Machine(f"keeper-{n}", "keeper", directory) for n in range(2)
@@ -198,6 +204,14 @@
                 "service": "plain",
                 "max_attempts": 2,
             },
+            {
+                **common,
+                "name": "once",
+                "path_prefix": "/once/",
+                "kind": "unsafe",
+                "service": "plain",
+                "max_attempts": 2,
+            },
             {
                 **common,
                 "name": "scores",
@@ -233,8 +247,14 @@
     }
 
 
-def batch(items: int, min_version: int = 1) -> dict:
-    """Returns a trainer's submission."""
+def batch(items: int, min_version: int = 1, name: str = "") -> dict:
+    """Returns a trainer's submission.
+
+    Args:
+      items: Number of its items.
+      min_version: Oldest version that may generate them.
+      name: Beginning of their identifiers.
+    """
     return {
         "step": 1,
         "model": "model",
@@ -242,14 +262,14 @@
         "target_groups": 1,
         "items": [
             {
-                "id": f"item-{number}",
+                "id": f"{name}item-{number}",
                 "path": f"/rollouts/1/{number}",
                 "headers": {"X-Shallotstand-Model": "model"},
                 "body": "q83v",
                 "token_count": 9,
                 "group": f"group-{number // 2}",
                 "scorer": {
-                    "id": f"score-{number}",
+                    "id": f"{name}score-{number}",
                     "host": HOST,
                     "path": "/scores/1",
                     "body": "3q2+",
--- a/apps/standins/src/shallotstand/standins/fleet_platform.py
+++ b/apps/standins/src/shallotstand/standins/fleet_platform.py
@@ -98,35 +98,38 @@
     async def _create(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
         return _answer(
+            request,
             await self.documents.create(
                 request.match_info["kind"],
                 body["metadata"]["name"],
                 body["spec"],
-            )
+            ),
         )
 
     async def _replace(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
         names = request.match_info
         return _answer(
+            request,
             await self.documents.replace(
                 names["kind"],
                 names["name"],
                 body["spec"],
                 body["metadata"]["revision"],
-            )
+            ),
         )
 
     async def _set_status(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
         names = request.match_info
         return _answer(
+            request,
             await self.documents.set_status(
                 names["kind"],
                 names["name"],
                 body["status"],
                 body["metadata"]["revision"],
-            )
+            ),
         )
 
     async def _delete(self, request: web.Request) -> web.Response:
@@ -158,8 +161,12 @@
     }
 
 
-def _answer(outcome: Document | Failure) -> web.Response:
+def _answer(request: web.Request, outcome: Document | Failure) -> web.Response:
     if isinstance(outcome, Failure):
+        if outcome.code == ResultCode.OUTCOME_UNKNOWN:
+            # The write is done and its answer is lost.
+            request.transport.abort()
+            return web.Response()
         return _failed(outcome)
     return _json(_encode(outcome))
 
--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,91 @@
+"""A loopback proxy that delays, cuts or silences connections."""
+
+import asyncio
+import contextlib
+import enum
+
+_CHUNK_BYTES = 65_536
+
+
+class Mode(enum.Enum):
+    """What the proxy does with bytes."""
+
+    PASS = "pass"
+    DELAY = "delay"
+    CUT = "cut"
+    SILENT = "silent"
+    ONE_WAY = "one way"
+
+
+class Proxy:
+    """Stands between one machine and the platform.
+
+    Attributes:
+      mode: What is done with bytes from now on.
+      address: Where the machine connects.
+    """
+
+    def __init__(self, target: str, delay_s: float = 0.2):
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._delay_s = delay_s
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._server: asyncio.Server | None = None
+        self.mode = Mode.PASS
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listens on loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        """Stops listening and ends all connections."""
+        self._server.close()
+        self.set_mode(Mode.CUT)
+
+    def set_mode(self, mode: Mode) -> None:
+        """Changes the mode; a cut also resets what is open."""
+        self.mode = mode
+        if mode is Mode.CUT:
+            for writer in self._writers:
+                writer.transport.abort()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.mode is Mode.CUT:
+            writer.transport.abort()
+            return
+        far_reader, far_writer = await asyncio.open_connection(*self._target)
+        pair = {writer, far_writer}
+        self._writers |= pair
+        try:
+            await asyncio.gather(
+                self._copy(reader, far_writer, False),
+                self._copy(far_reader, writer, True),
+            )
+        finally:
+            self._writers -= pair
+            for end in pair:
+                end.close()
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_answer: bool,
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            while chunk := await reader.read(_CHUNK_BYTES):
+                if self.mode is Mode.SILENT:
+                    continue
+                if self.mode is Mode.ONE_WAY and is_answer:
+                    continue
+                if self.mode is Mode.DELAY:
+                    await asyncio.sleep(self._delay_s)
+                writer.write(chunk)
+                await writer.drain()
+        if not writer.is_closing():
+            writer.close()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,8 +5,7 @@
 
 import orjson
 import pytest
-
-from tests.fleet import Fleet, batch, configuration
+from shallotstand.standins.fleet import Fleet, batch, configuration
 
 BATCH = "/shallotstand/lots/b1"
 
