--- a/apps/standins/src/shallotstand/standins/fleet_platform.py
+++ b/apps/standins/src/shallotstand/standins/fleet_platform.py
@@ -93,7 +93,9 @@
 
     async def _get(self, request: web.Request) -> web.Response:
         names = request.match_info
-        return _answer(await self.documents.get(names["kind"], names["name"]))
+        return _answer(
+            request, await self.documents.get(names["kind"], names["name"])
+        )
 
     async def _create(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
