--- a/tests/adapter/test_engines.py
+++ b/tests/adapter/test_engines.py
@@ -374,3 +374,30 @@
         assert server.received == []
 
     run(lambda r: Reply((answer(r),)), scenario)
+
+
+def test_connection_that_comes_late_is_closed_and_not_cancelled(monkeypatch):
+    # The library's own time-out cancels a connect, too (SIGABRT on the second
+    # look at quiet-1 of the grown Temelna).
+    monkeypatch.setattr("shallotstand.adapter.http.CONNECT_TIMEOUT_S", 0.1)
+
+    async def scenario(client, engine, server):
+        cancelled = []
+        connect = client._kept.connector._create_connection
+
+        async def slowly(*args):
+            try:
+                await asyncio.sleep(0.3)
+            except asyncio.CancelledError:
+                cancelled.append(True)
+                raise
+            return await connect(*args)
+
+        client._kept.connector._create_connection = slowly
+        outcome = await client.exchange(engine, call(), 5.0)
+        assert is_not_run(outcome.code)
+        await asyncio.sleep(0.4)
+        assert not cancelled
+        assert server.received == []
+
+    run(lambda r: Reply((answer(r),)), scenario)
