Split the fair queue and the handover's tests

Change: flows and the queue of a service stand in fair_flows; the stateful test of the handover and what both tests share in modules of their own. Two tests set the constant NO_ENDPOINT_GRACE_S where it is now; no assertion changed.

--- /dev/null
+++ b/libs/rollout/tests/handover_cases.py
@@ -0,0 +1,146 @@
+"""A job, its samples and a check of what a trainer used."""
+
+import asyncio
+import itertools
+
+import orjson
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.objects.types import RolloutJob
+from shallotstand.platform.conditional import Backoff
+from shallotstand.rollout.handover import Handover
+from shallotstand.rollout.ledger import JobLedger, LedgerState
+from shallotstand.rollout.samples import Sample, VersionSpan
+from shallotstand.rollout.staleness import ModelVersions
+from shallotstand.standins.object_store import StandinObjectStore
+
+JOB = RolloutJob("job", "acct", "drafts", 2, 2, 1, "", "", 60.0)
+PROMPTS = ("a", "b")
+VERSIONS = ModelVersions({f"v{n}": n for n in range(1, 50)}, 1)
+
+
+BACKOFF = Backoff(attempts=3, first_s=0.0)
+
+
+class Lease:
+    """A lease that never lapses by itself."""
+
+    def __init__(self, epoch):
+        self.epoch = epoch
+        self.is_held = True
+        self.time_left_s = 7.0
+        self.holder_address = ""
+
+
+class KilledError(Exception):
+    """The holder's process ended."""
+
+
+class CutStore(StandinObjectStore):
+    """Shows one fault at the n-th write."""
+
+    def __init__(self, write, fault):
+        super().__init__()
+        self.left = write
+        self.fault = fault
+
+    async def put(self, key, value, expected_version):
+        self.left -= 1
+        if self.left != 0:
+            return await super().put(key, value, expected_version)
+        if self.fault == "killed before":
+            raise KilledError
+        if self.fault == "not written":
+            return Failure(ResultCode.STORE_UNAVAILABLE, "")
+        await super().put(key, value, expected_version)
+        if self.fault == "killed after":
+            raise KilledError
+        return Failure(ResultCode.STORE_UNAVAILABLE, "")
+
+
+def holder(store, epoch):
+    ledger = JobLedger(store, "job", Lease(epoch), BACKOFF)
+    return Handover(JOB, ledger, VERSIONS)
+
+
+async def take(store, epoch):
+    """Starts a holder; repeats as the service does."""
+    new = holder(store, epoch)
+    while await new.take_over(epoch) is not None:
+        pass
+    return new
+
+
+def sample(sample_id, version="v1"):
+    return Sample(
+        sample_id, f"text {sample_id}", (VersionSpan(version, 3),), 1, 3, 0.5
+    )
+
+
+def fill(handover, step, retained, version="v1"):
+    """Offers the retained samples, then generates the missing ones."""
+    for kept in list(retained):
+        handover.add(kept)
+    held = handover.steps_by_number[step]
+    if held.manifest is None:
+        for slot in held.collector.missing():
+            made = sample(handover.next_id(slot), version)
+            assert handover.add(made) is None
+            retained.append(made._replace(score=None))
+
+
+async def sealed(handover, step=0, version="v1"):
+    retained = []
+    assert await handover.open(step, PROMPTS) is None
+    fill(handover, step, retained, version)
+    assert await handover.seal(step) is None
+    return retained
+
+
+def run(check):
+    asyncio.run(check())
+
+
+def check_used(used, state: LedgerState):
+    """The oracle: whole steps, in order, each counted as the trainer did."""
+    assert [step for step, _, _ in used] == list(range(len(used)))
+    ids = [s["id"] for _, _, body in used for s in body["samples"]]
+    assert len(ids) == len(set(ids)) == 4 * len(used)
+    for step, digest, body in used:
+        places = {(s["group"], s["index"]) for s in body["samples"]}
+        assert places == set(itertools.product(range(2), range(2)))
+        assert state.acknowledged[step].digest == digest
+    assert state.next_step == len(used)
+
+
+async def train(store, steps, keep_retained):
+    """Runs a trainer over holders that may be killed at any write."""
+    epochs = itertools.count(1)
+    retained, used, current, fetched = [], [], None, None
+    while len(used) < steps:
+        step = len(used)
+        try:
+            current = current or await take(store, next(epochs))
+            if fetched is None:
+                await current.open(step, PROMPTS)
+                fill(current, step, retained)
+                if isinstance(await current.seal(step), Failure):
+                    continue
+                answer = await current.fetch(step)
+                if isinstance(answer, Failure):
+                    await current.reopen(step)
+                    continue
+                fetched = answer
+            failure = await current.acknowledge(step, fetched.digest)
+            if failure is None:
+                used.append((step, fetched.digest, orjson.loads(fetched.body)))
+                fetched = None
+            elif failure.code == ResultCode.STEP_RESEALED:
+                fetched = None
+        except KilledError:
+            current = None
+            if not keep_retained:
+                retained.clear()
+    final = holder(store, next(epochs))
+    await final.take_over(9)
+    check_used(used, final._ledger.state)
--- a/libs/serving/src/shallotstand/serving/fair_queue.py
+++ b/libs/serving/src/shallotstand/serving/fair_queue.py
@@ -14,274 +14,42 @@
 """
 
 import asyncio
-import itertools
-from collections import Counter, deque
-from collections.abc import Iterable, Sequence
-from typing import NamedTuple
+from collections import Counter
+from collections.abc import Iterable
 
 from shallotstand.core.clock import Clock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.serving.admission import Permit, ServedTokens, Ticket
-from shallotstand.serving.capacity import Demand, own_slots
-from shallotstand.serving.rates import DrainRate, TokenBucket
+from shallotstand.serving.capacity import Demand
+from shallotstand.serving.fair_flows import (
+    RUN_MARGIN,
+    AccountLoad,
+    Flow,
+    ServiceQueue,
+    Waiter,
+    moved_ratio,
+)
+from shallotstand.serving.rates import TokenBucket
 
-INTERACTIVE_LEAD_S = 0.5
-ROLLOUT_RATIO = 0.25
 # What other entries served counts here up to this much of the service's speed.
 # More would lock out an account that used capacity nobody else wanted.
 REMOTE_LEAD_S = 2.0
 # The same while the speed is not known.
 _REMOTE_LEAD_TOKENS = 20_000.0
-# A request whose turn comes with less time left than it usually runs, by this
-# factor, would take a slot for an answer that nobody waits for any more.
-RUN_MARGIN = 2.0
-# A sidecar that lost its link dials again within 7.5 s (5 s and jitter) and
-# reports its endpoints within another 0.5 s. An engine that is still away then
-# takes longer to restart than it is worth holding callers for.
-NO_ENDPOINT_GRACE_S = 8.0
-# Callers ask for more tokens than they use; each finished request moves the
-# account's ratio by this much.
-_RATIO_STEP = 0.05
-_CLASSES = ("interactive", "rollout")
 
 
 _NO_TURN = Failure(ResultCode.DEADLINE_PASSED, "No turn in time.")
 _NO_ENDPOINT = Failure(ResultCode.NO_ENDPOINT, "No endpoint is live.")
 
 
-class _Waiter(NamedTuple):
-    """A request in a queue.
-
-    Attributes:
-      ticket: The request.
-      turn: Set when its turn comes, to None if it may run.
-    """
-
-    ticket: Ticket
-    turn: asyncio.Future[Failure | None]
-
-
-class _Account:
-    """Limits of a client account, which hold for all services together."""
-
-    def __init__(self) -> None:
-        self.running = 0
-        self.remote_running = 0
-        self.bucket: TokenBucket | None = None
-
-    def may_start(self, limit: int) -> bool:
-        """Says whether one more request is within the concurrency limit."""
-        # An entry that runs nothing of the account may always start one, or
-        # other entries could keep a client of this one out.
-        return (
-            limit == 0
-            or self.running == 0
-            or self.running + self.remote_running < limit
-        )
-
-
-class _Flow:
-    """Requests of one client account for one service."""
-
-    def __init__(self, account: _Account) -> None:
-        self.account = account
-        self.weight = 1.0
-        self.virtual = 0.0
-        self.served = 0
-        self.running = 0
-        self.rollout_credit = 0.0
-        self.used_ratio = 1.0
-        self.queues_by_class: dict[str, deque[_Waiter]] = {
-            name: deque() for name in _CLASSES
-        }
-
-    def learn_ratio(self, cost: float, tokens: float) -> None:
-        """Learns which part of the expected tokens requests really use."""
-        self.used_ratio = _moved(self.used_ratio, cost, tokens)
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether nothing runs or waits.
-
-        The first request of an idle account is not refused by an estimate, or
-        a wrong one could never be corrected by a measurement.
-        """
-        return not self.running and not self.waiting
-
-    @property
-    def waiting(self) -> int:
-        """Number of requests in the queues."""
-        return sum(map(len, self.queues_by_class.values()))
-
-    @property
-    def waiting_tokens(self) -> float:
-        """Expected tokens of the requests in the queues."""
-        queues = self.queues_by_class.values()
-        return sum(w.ticket.cost for w in itertools.chain(*queues))
-
-    @property
-    def next_class(self) -> str:
-        """Class whose first request is next within the account."""
-        interactive, rollout = (self.queues_by_class[c] for c in _CLASSES)
-        if not interactive:
-            return "rollout"
-        if rollout and self.rollout_credit >= rollout[0].ticket.cost:
-            return "rollout"
-        return "interactive"
-
-    def can_start(self) -> bool:
-        """Says whether a request waits that the limits let run."""
-        if not self.waiting:
-            return False
-        head = self.queues_by_class[self.next_class][0]
-        return self.account.may_start(head.ticket.max_concurrency)
-
-    def take(self) -> _Waiter:
-        """Takes the next request out of its queue."""
-        name = self.next_class
-        waiter = self.queues_by_class[name].popleft()
-        cost = waiter.ticket.cost
-        if name == "rollout":
-            self.rollout_credit = max(0.0, self.rollout_credit - cost)
-        elif self.queues_by_class["rollout"]:
-            self.rollout_credit += cost * ROLLOUT_RATIO / (1 - ROLLOUT_RATIO)
-        return waiter
-
-
-class _ServiceQueue:
-    """Flows of one service and the slots that they share.
-
-    Attributes:
-      total_slots: Slots of the service for all entries.
-      slots: Slots that this entry may fill.
-      empty_since: Since when no endpoint is live; None while one is.
-      grace: Runs out when waiting requests are refused for that.
-    """
-
-    def __init__(self, now: float) -> None:
-        self.empty_since: float | None = now
-        self.grace: asyncio.TimerHandle | None = None
-        self.total_slots = 0
-        self.slots = 0
-        self.running = 0
-        self.virtual = 0.0
-        self.used_ratio = 1.0
-        self.rate = DrainRate()
-        self.flows_by_account: dict[str, _Flow] = {}
-
-    @property
-    def speed(self) -> float | None:
-        """Tokens a second of all slots; None while unknown."""
-        return self.rate.tokens_per_second(self.slots)
-
-    def divide(self, others: Sequence[Sequence[Demand]]) -> None:
-        """Divides the slots anew between this entry and the others."""
-        own = [
-            Demand(name, flow.weight, flow.running, flow.waiting)
-            for name, flow in self.flows_by_account.items()
-            if flow.running or flow.waiting
-        ]
-        self.slots = own_slots(self.total_slots, own, others)
-
-    def set_slots(self, slots: int, now: float) -> None:
-        """Takes the slots of the live endpoints."""
-        self.total_slots = slots
-        if slots == 0:
-            if self.empty_since is None:
-                self.empty_since = now
-            return
-        self.empty_since = None
-        if self.grace is not None:
-            self.grace.cancel()
-            self.grace = None
-
-    def grace_left(self, now: float) -> float | None:
-        """Returns the seconds that requests still wait for an endpoint.
-
-        None while an endpoint is live.
-        """
-        if self.empty_since is None:
-            return None
-        return max(0.0, self.empty_since + NO_ENDPOINT_GRACE_S - now)
-
-    def take_all(self) -> list[tuple[_Flow, _Waiter]]:
-        """Takes every request out of the queues."""
-        taken = []
-        for flow in self.flows_by_account.values():
-            for queue in flow.queues_by_class.values():
-                taken += [(flow, waiter) for waiter in queue]
-                queue.clear()
-        return taken
-
-    def next_flow(self) -> _Flow | None:
-        """Returns the flow whose turn it is."""
-        ready = [f for f in self.flows_by_account.values() if f.can_start()]
-        if not ready:
-            return None
-        lead = INTERACTIVE_LEAD_S * (self.speed or 0.0)
-        lead /= sum(flow.weight for flow in ready)
-        return min(
-            ready,
-            key=lambda flow: (
-                flow.virtual - lead
-                if flow.next_class == "interactive"
-                else flow.virtual
-            ),
-        )
-
-    def start(self, flow: _Flow, ticket: Ticket) -> None:
-        """Charges a flow for a request that starts."""
-        self.virtual = max(self.virtual, flow.virtual)
-        flow.virtual += ticket.cost / flow.weight
-        flow.running += 1
-        flow.account.running += 1
-        self.running += 1
-
-    def finish(self, flow: _Flow, ticket: Ticket, tokens: float) -> None:
-        """Corrects the charge to what was used and frees the slot."""
-        flow.virtual += (tokens - ticket.cost) / flow.weight
-        flow.running -= 1
-        flow.account.running -= 1
-        self.running -= 1
-        if flow.account.bucket is not None:
-            flow.account.bucket.take(tokens - ticket.cost)
-
-    def expected_time(self, flow: _Flow, ticket: Ticket) -> float:
-        """Returns the seconds until the request's end; 0 while unknown.
-
-        Before it run the account's own requests and, of each other account,
-        what its weight entitles it to meanwhile.
-        """
-        speed = self.speed
-        if not speed or self.running < self.slots or flow.is_idle:
-            return 0.0
-        own = sum(w.ticket.cost for w in flow.queues_by_class["interactive"])
-        if ticket.priority == "rollout":
-            own = flow.waiting_tokens
-        ahead = own + sum(
-            min(
-                other.waiting_tokens,
-                (own + ticket.cost) * other.weight / flow.weight,
-            )
-            for other in self.flows_by_account.values()
-            if other is not flow
-        )
-        return ahead / speed + RUN_MARGIN * self.run_time(ticket)
-
-    def run_time(self, ticket: Ticket) -> float:
-        """Returns the seconds that a request runs; 0 while unknown."""
-        speed = self.speed
-        return ticket.cost * self.slots / speed if speed else 0.0
-
-
 class _FairPermit:
     """One slot of a service."""
 
     def __init__(
         self,
         admission: "FairAdmission",
-        flow: _Flow,
+        flow: Flow,
         ticket: Ticket,
         asked: float,
     ) -> None:
@@ -319,8 +87,8 @@
 
     def __init__(self, clock: Clock):
         self._clock = clock
-        self._queues_by_service: dict[str, _ServiceQueue] = {}
-        self._accounts_by_name: dict[str, _Account] = {}
+        self._queues_by_service: dict[str, ServiceQueue] = {}
+        self._accounts_by_name: dict[str, AccountLoad] = {}
         self._totals_by_peer: dict[
             str, dict[tuple[str, str], ServedTokens]
         ] = {}
@@ -354,7 +122,7 @@
         if flow.account.bucket is not None:
             flow.account.bucket.take(ticket.cost)
         turn = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(ticket, turn)
+        waiter = Waiter(ticket, turn)
         flow.queues_by_class[ticket.priority].append(waiter)
         if flow.waiting == 1:
             self._divide(ticket.service)
@@ -374,7 +142,7 @@
         return _FairPermit(self, flow, ticket, asked)
 
     def finish(
-        self, flow: _Flow, ticket: Ticket, tokens: int, started: float
+        self, flow: Flow, ticket: Ticket, tokens: int, started: float
     ) -> None:
         """Ends a permit; called by the permit only."""
         queue = self._queue(ticket.service)
@@ -387,7 +155,7 @@
     def learn_ratio(self, service: str, cost: float, tokens: float) -> None:
         """Learns from a finished request for accounts that come later."""
         queue = self._queue(service)
-        queue.used_ratio = _moved(queue.used_ratio, cost, tokens)
+        queue.used_ratio = moved_ratio(queue.used_ratio, cost, tokens)
 
     def served(self) -> tuple[ServedTokens, ...]:
         """Returns what this entry has served, for the other entries."""
@@ -472,7 +240,7 @@
         flow.virtual = min(base + tokens / flow.weight, limit)
 
     def _refusal(
-        self, queue: _ServiceQueue, flow: _Flow, ticket: Ticket
+        self, queue: ServiceQueue, flow: Flow, ticket: Ticket
     ) -> Failure | None:
         if flow.waiting >= ticket.max_queue:
             return Failure(ResultCode.QUEUE_FULL, "The queue is full.")
@@ -491,9 +259,7 @@
             )
         return None
 
-    def _abandon(
-        self, queue: _ServiceQueue, flow: _Flow, waiter: _Waiter
-    ) -> None:
+    def _abandon(self, queue: ServiceQueue, flow: Flow, waiter: Waiter) -> None:
         """Takes back a request whose wait ended without a permit."""
         line = flow.queues_by_class[waiter.ticket.priority]
         if waiter in line:
@@ -507,7 +273,7 @@
             queue.finish(flow, waiter.ticket, 0)
         self._wake_all()
 
-    def _start_grace(self, queue: _ServiceQueue) -> None:
+    def _start_grace(self, queue: ServiceQueue) -> None:
         """Sees to it that nothing waits long for an endpoint."""
         left_s = queue.grace_left(self.now())
         if left_s is None or queue.grace is not None:
@@ -515,7 +281,7 @@
         loop = asyncio.get_running_loop()
         queue.grace = loop.call_later(left_s, self._end_grace, queue)
 
-    def _end_grace(self, queue: _ServiceQueue) -> None:
+    def _end_grace(self, queue: ServiceQueue) -> None:
         queue.grace = None
         for flow, waiter in queue.take_all():
             if waiter.turn.done():
@@ -529,7 +295,7 @@
         for queue in self._queues_by_service.values():
             self._wake(queue)
 
-    def _wake(self, queue: _ServiceQueue) -> None:
+    def _wake(self, queue: ServiceQueue) -> None:
         while queue.running < queue.slots:
             flow = queue.next_flow()
             if flow is None:
@@ -547,11 +313,13 @@
                 flow.account.bucket.take(-waiter.ticket.cost)
             waiter.turn.set_result(None if in_time else _NO_TURN)
 
-    def _flow(self, queue: _ServiceQueue, ticket: Ticket) -> _Flow:
-        account = self._accounts_by_name.setdefault(ticket.account, _Account())
+    def _flow(self, queue: ServiceQueue, ticket: Ticket) -> Flow:
+        account = self._accounts_by_name.setdefault(
+            ticket.account, AccountLoad()
+        )
         flow = queue.flows_by_account.get(ticket.account)
         if flow is None:
-            flow = queue.flows_by_account[ticket.account] = _Flow(account)
+            flow = queue.flows_by_account[ticket.account] = Flow(account)
             flow.virtual = queue.virtual
             flow.used_ratio = queue.used_ratio
         flow.weight = max(ticket.weight, 1e-6)
@@ -564,12 +332,7 @@
             account.bucket.set_rate(rate)
         return flow
 
-    def _queue(self, service: str) -> _ServiceQueue:
+    def _queue(self, service: str) -> ServiceQueue:
         return self._queues_by_service.setdefault(
-            service, _ServiceQueue(self.now())
+            service, ServiceQueue(self.now())
         )
-
-
-def _moved(ratio: float, cost: float, tokens: float) -> float:
-    """Returns the ratio of used to expected tokens after a request."""
-    return ratio + _RATIO_STEP * (tokens / max(1.0, cost) - ratio)
--- a/libs/serving/tests/test_fair_queue.py
+++ b/libs/serving/tests/test_fair_queue.py
@@ -9,7 +9,7 @@
 from shallotstand.core.clock import ManualClock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
-from shallotstand.serving import fair_queue
+from shallotstand.serving import fair_flows
 from shallotstand.serving.admission import ServedTokens, Ticket
 from shallotstand.serving.fair_queue import FairAdmission
 
@@ -56,7 +56,7 @@
 def test_service_without_live_endpoint_refuses_before_the_deadline(
     monkeypatch,
 ):
-    monkeypatch.setattr(fair_queue, "NO_ENDPOINT_GRACE_S", 0.05)
+    monkeypatch.setattr(fair_flows, "NO_ENDPOINT_GRACE_S", 0.05)
 
     async def check():
         desk = Desk(slots=1)
@@ -80,7 +80,7 @@
 def test_endpoint_that_returns_within_the_grace_time_runs_the_request(
     monkeypatch,
 ):
-    monkeypatch.setattr(fair_queue, "NO_ENDPOINT_GRACE_S", 0.05)
+    monkeypatch.setattr(fair_flows, "NO_ENDPOINT_GRACE_S", 0.05)
 
     async def check():
         desk = Desk(slots=0)
