Tell connected peers of listeners that start later

A sidecar that connected to its entries before the controllers had done so never met a controller; after the other sidecar's end its usage records reached nobody. The logs of a failing run show it: sidecar-1 has lines 'Peer connected' for both entries and for no controller, while usage/1 was held from 12 s after the kill on. Ruled out: the takeover of the shards (scope held at epoch 2, no failed checkpoint) and the reports (windows of zeros were sent). The new test of the node fails without the change.

--- a/libs/link/src/shallotstand/link/node.py
+++ b/libs/link/src/shallotstand/link/node.py
@@ -52,6 +52,8 @@
       hello: What the peer said of itself.
       revision: Highest configuration revision that the peer has named.
       on_ping: Called with this connection after each Ping of the peer.
+      on_hello: Called with each Hello after the first; it names listeners
+        that the peer has met since.
     """
 
     def __init__(self, link: Link, hello: Hello, clock: Clock):
@@ -59,6 +61,7 @@
         self.hello = hello
         self.revision = hello.revision
         self.on_ping: Callable[[PeerConnection], None] = lambda _: None
+        self.on_hello: Callable[[Hello], None] = lambda _: None
         self._clock = clock
         self._heard_at = clock.monotonic()
         self._clock_offset_ms: int | None = None
@@ -89,7 +92,10 @@
         return self.link.send(message)
 
     async def messages(self) -> AsyncIterator[Message]:
-        """Yields the peer's messages except Ping until the connection ends."""
+        """Yields the peer's messages until the connection ends.
+
+        Ping and Hello are left out; the connection handles them.
+        """
         messages = self.link.messages()
         while True:
             try:
@@ -103,6 +109,8 @@
             if isinstance(message, Ping):
                 self._take_ping(message)
                 self.on_ping(self)
+            elif isinstance(message, Hello):
+                self.on_hello(message)
             else:
                 yield message
 
@@ -151,6 +159,7 @@
         self._server: asyncio.Server | None = None
         self._peers_by_address: dict[tuple[str, int], Peer] = {}
         self._dialers_by_address: dict[tuple[str, int], asyncio.Task] = {}
+        self._announced: set[tuple[str, int]] = set()
         self._accepted: set[asyncio.Task] = set()
         self._sequence = itertools.count(1)
         self._heartbeat: asyncio.Task | None = None
@@ -249,6 +258,8 @@
         # The first Ping goes out at once: it carries the clock that orders
         # need and tells the peer that this process hears it.
         peer.send(self._next_ping())
+        peer.on_hello = self._learn
+        self._announce_listeners(peer)
         if self._heartbeat is None:
             self._heartbeat = asyncio.create_task(self._send_pings())
         logs.event(logging.INFO, "Peer connected", peer=process_id)
@@ -304,6 +315,20 @@
             self._peers_by_address[peer.host, peer.port] = peer
             self.dial(peer.host, peer.port)
 
+    def _announce_listeners(self, newcomer: PeerConnection) -> None:
+        """Tells the other peers of listeners that they can't know yet.
+
+        An address is told once; it stays the same when its process restarts.
+        """
+        addresses = {(p.host, p.port) for p in self._known_listeners()}
+        if addresses <= self._announced:
+            return
+        self._announced |= addresses
+        body = encode(self._hello())
+        for peer in self.peers_by_id.values():
+            if peer is not newcomer:
+                peer.link.send_encoded(body)
+
     def _hello(self) -> Hello:
         identity = self.identity
         roster = {p.process_id: p for p in self._known_listeners()}
--- a/libs/link/tests/test_node.py
+++ b/libs/link/tests/test_node.py
@@ -13,10 +13,11 @@
 class Echo:
     """Notes what peers send."""
 
-    def __init__(self, name: str):
+    def __init__(self, name: str, listens: bool = True):
         self.received = []
         port = free_address().port
         address = Peer(name, "entry", "peak-a", "127.0.0.1", port)
+        address = address if listens else None
         self.node = Node(
             Identity(name, "entry", "peak-a", name + "-1", address),
             self.serve,
@@ -74,6 +75,25 @@
     asyncio.run(check())
 
 
+def test_peers_that_start_later_are_learnt_too():
+    # A sidecar that was there first never met the controllers, and nobody
+    # collected its usage records.
+    async def check():
+        early = Echo("early", listens=False)
+        middle, late = Echo("middle"), Echo("late")
+        await middle.node.listen()
+        early.node.dial(*middle.address)
+        await until(lambda: "early" in middle.node.peers_by_id)
+        await late.node.listen()
+        late.node.dial(*middle.address)
+        await until(lambda: "late" in middle.node.peers_by_id)
+        await until(lambda: "late" in early.node.peers_by_id)
+        for echo in (early, middle, late):
+            await echo.node.close()
+
+    asyncio.run(check())
+
+
 def test_reconnects_after_the_peer_restarts():
     async def check():
         a, b = Echo("a"), Echo("b")
