Watch the store in one gateway for all, read batches where they run

Now the working gateway that comes first by rendezvous hashing watches, and tells the others over the links they have; a process that hears nothing for 1.5 s, or whose own calls fail, watches for itself. Of submissions only the names are passed on. Results have a kind of their own that nobody watches; a gateway that is asked for a batch it does not run asks the one that does, and the store if that one does not answer. In an outage only one kind is probed. Ruled out: stale reads for watches (a leaving endpoint has to be known within two seconds), results over the links to all (bytes between zones).

--- a/apps/gateway/src/shallotstand/gateway/batching.py
+++ b/apps/gateway/src/shallotstand/gateway/batching.py
@@ -8,17 +8,21 @@
 from shallotstand.batches.checkpoints import Checkpoints
 from shallotstand.batches.item_run import Tools
 from shallotstand.batches.log import BatchLog
+from shallotstand.batches.records import LOG_KIND
 from shallotstand.batches.retention import Retention
 from shallotstand.batches.runner import BatchRunner
 from shallotstand.batches.service import BatchService
 from shallotstand.core.clock import Clock
+from shallotstand.core.failure import Failure
 from shallotstand.dispatch.slots import SlotPool
-from shallotstand.documents.protocols import DocumentStore
+from shallotstand.documents.protocols import Document
 from shallotstand.gateway.ownership import MeshOwnership
 from shallotstand.gateway.serving import Serving
-from shallotstand.link.messages import Presence
+from shallotstand.link.gateway_messages import Presence, StoreChanges
+from shallotstand.peers.batch_reads import PeerBatchReads
 from shallotstand.peers.mesh import PeerMesh
 from shallotstand.peers.registry import PeerAddress, PeerRegistry
+from shallotstand.peers.shared_store import SharedStore
 
 
 class Identity(NamedTuple):
@@ -50,7 +54,7 @@
     def __init__(
         self,
         identity: Identity,
-        store: DocumentStore,
+        store: SharedStore,
         serving: Serving,
         describe: Callable[[], Presence],
         clock: Clock,
@@ -59,7 +63,7 @@
 
         Args:
           identity: This process.
-          store: The store.
+          store: The store, whose watches are shared with the peers.
           serving: What the items are run and scored with.
           describe: Returns what this process tells its peers.
           clock: Source of time.
@@ -67,9 +71,10 @@
         boot, process_id = identity
         self.book = BatchBook()
         log = BatchLog(store, self.book, clock)
-        self.service = BatchService(self.book, log, clock)
         self.registry = PeerRegistry(store, identity.address)
         self._mesh = PeerMesh(identity.address, self.registry, describe, clock)
+        store.join(self._mesh)
+        self._mesh.handle(StoreChanges, lambda message, _: store.take(message))
         serving.endpoints.count_peers(self._mesh.running_by_endpoint)
         self._checkpoints = Checkpoints(store, boot.node)
         pool = SlotPool(serving.endpoints)
@@ -91,11 +96,18 @@
             self._checkpoints,
             process_id,
         )
+        self.service = BatchService(
+            self.book,
+            log,
+            clock,
+            self._runner.runs,
+            PeerBatchReads(self._mesh, LOG_KIND, self._answer_peer),
+        )
         self._retention = Retention(
             self.book,
             log,
             boot.results_kept_s,
-            lambda batch_id: self._mesh.first_for(batch_id) == process_id,
+            self._mesh.is_first_for,
             clock,
         )
 
@@ -109,9 +121,16 @@
             self._retention.run,
         )
 
-    def running(self) -> tuple[str, ...]:
-        """Returns the identifiers of the batches that run here."""
-        return self._runner.running()
+    def known(self) -> tuple[str, ...]:
+        """Returns the identifiers of the batches that run or ran here."""
+        return self._runner.known()
+
+    async def _answer_peer(
+        self, batch_id: str, knows_submission: bool, entries: int, wait_s: float
+    ) -> tuple[Document, ...] | Failure:
+        return await self.service.entries_for_peer(
+            batch_id, knows_submission, entries, wait_s
+        )
 
     async def stop(self) -> None:
         """Leaves the batches to other processes."""
--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -30,10 +30,11 @@
 from shallotstand.duties.usage_counts import UsageWriter
 from shallotstand.gateway.batching import Batching, Identity
 from shallotstand.gateway.serving import Serving
-from shallotstand.link.messages import EndpointUse, Presence
+from shallotstand.link.gateway_messages import EndpointUse, Presence
 from shallotstand.observe.events import store_call_counter
 from shallotstand.observe.metrics import Metrics
 from shallotstand.peers.registry import GATEWAYS_KIND
+from shallotstand.peers.shared_store import SharedStore
 
 # Changes of endpoints that come within this time cost one call; an endpoint
 # that leaves has to be left alone within two seconds.
@@ -60,7 +61,16 @@
         self._boot = boot
         self._process_id = process_id
         self._clock = SystemClock()
-        self._store = PlatformStore(boot.store, store_call_counter(metrics))
+        self._platform_store = PlatformStore(
+            boot.store, store_call_counter(metrics)
+        )
+        self._store = SharedStore(
+            self._platform_store,
+            self._clock,
+            names.CONFIG_KIND,
+            # Submissions are large, and few processes need them.
+            names_only=(LOG_KIND,),
+        )
         self._client = EngineClient(boot.node)
         self._serving = Serving(boot, self._client, self._clock)
         self._batching = Batching(
@@ -129,7 +139,7 @@
             task.cancel()
         await ready_server.close()
         await self._client.close()
-        await self._store.close()
+        await self._platform_store.close()
         logs.event(logging.INFO, "Stopped")
 
     async def _serve(self, tasks: list[asyncio.Task]) -> None:
@@ -190,7 +200,7 @@
                     EndpointUse, self._serving.endpoints.running_by_id().items()
                 )
             ),
-            self._batching.running(),
+            self._batching.known(),
         )
 
     def _follower(
--- a/apps/gateway/src/shallotstand/gateway/ownership.py
+++ b/apps/gateway/src/shallotstand/gateway/ownership.py
@@ -33,13 +33,16 @@
         )
         return True
 
-    def _is_left_to_me(self, batch_id: str, owner: str) -> bool:
-        if owner.rpartition(".")[0] == self._node:
-            # An earlier process of this machine; it can't be running.
-            return True
+    def is_abandoned(self, batch_id: str) -> bool:
+        """Says whether nobody runs a batch that this process is to look at."""
         return (
             self._mesh.is_settled
             and not self._mesh.is_run(batch_id)
-            and not self._mesh.is_working(owner)
-            and self._mesh.first_for(batch_id) == self._process_id
+            and self._mesh.is_first_for(batch_id)
         )
+
+    def _is_left_to_me(self, batch_id: str, owner: str) -> bool:
+        if owner.rpartition(".")[0] == self._node:
+            # An earlier process of this machine; it can't be running.
+            return True
+        return not self._mesh.is_working(owner) and self.is_abandoned(batch_id)
--- a/libs/batches/src/shallotstand/batches/book.py
+++ b/libs/batches/src/shallotstand/batches/book.py
@@ -27,7 +27,7 @@
       items_by_id: Its items.
       results: Results in the order of their positions.
       listed: Identifiers of the items that are listed.
-      entries: Entries of results applied so far.
+      groups: Entries of results applied so far.
       is_ended: Whether its end was acknowledged.
       confirmed_at: Monotonic time in seconds at which the store said that
         there was nothing more.
@@ -38,7 +38,7 @@
         self.items_by_id = {item.id: item for item in submission.items}
         self.results: list[Result] = []
         self.listed: set[str] = set()
-        self.entries = 0
+        self.groups: list[ResultGroup] = []
         self.is_ended = False
         self.confirmed_at = float("-inf")
         self._pending_by_number: dict[int, ResultGroup] = {}
@@ -49,6 +49,11 @@
         """Identifier of the batch."""
         return self.submission.id
 
+    @property
+    def entries(self) -> int:
+        """Number of the last entry of results."""
+        return len(self.groups)
+
     @property
     def is_complete(self) -> bool:
         """Whether every item is listed."""
@@ -71,7 +76,7 @@
             self._pending_by_number[number] = group
         while self.entries + 1 in self._pending_by_number:
             ready = self._pending_by_number.pop(self.entries + 1)
-            self.entries += 1
+            self.groups.append(ready)
             self.results.extend(ready.results)
             self.listed.update(result.id for result in ready.results)
             self._notify()
@@ -100,11 +105,13 @@
     """Batches by identifier.
 
     Attributes:
-      by_id: Every batch in the log.
+      by_id: Every batch whose submission was read.
+      unread: Identifiers of the other batches in the log that haven't ended.
     """
 
     def __init__(self) -> None:
         self.by_id: dict[str, Batch] = {}
+        self.unread: set[str] = set()
         self._latest_by_item: dict[str, str] = {}
         self._listeners: list[Callable[[Batch], None]] = []
         self._early_by_batch: dict[str, list[Document]] = {}
@@ -125,6 +132,9 @@
     def apply(self, document: Document) -> None:
         """Takes an entry; one that is known already changes nothing."""
         batch_id, _, suffix = document.name.rpartition(".")
+        if document.spec is None:
+            self._note(batch_id, suffix)
+            return
         try:
             self._apply(batch_id, suffix, document)
         except (KeyError, TypeError, ValueError) as error:
@@ -162,6 +172,7 @@
                 return
             batch = Batch(submission_from_spec(document.spec))
             self.by_id[batch_id] = batch
+            self.unread.discard(batch_id)
             for document in self._early_by_batch.pop(batch_id, ()):
                 self.apply(document)
             self._notify(batch)
@@ -179,7 +190,19 @@
             return
         batch.add(int(suffix), results_from_spec(document.spec))
 
+    def _note(self, batch_id: str, suffix: str) -> None:
+        """Takes the name of an entry that a peer told of."""
+        batch = self.by_id.get(batch_id)
+        if suffix == END_SUFFIX:
+            self.unread.discard(batch_id)
+            if batch is not None:
+                batch.end()
+                self._notify(batch)
+        elif batch is None:
+            self.unread.add(batch_id)
+
     def _forget(self, batch_id: str) -> None:
+        self.unread.discard(batch_id)
         self._early_by_batch.pop(batch_id, None)
         batch = self.by_id.pop(batch_id, None)
         if batch is None:
--- a/libs/batches/src/shallotstand/batches/log.py
+++ b/libs/batches/src/shallotstand/batches/log.py
@@ -9,12 +9,12 @@
 from shallotstand.batches.book import Batch, BatchBook
 from shallotstand.batches.records import (
     END_SUFFIX,
-    LOG_KIND,
     SUBMISSION_SUFFIX,
     Result,
     ResultGroup,
     Submission,
     entry_name,
+    kind_of,
     results_to_spec,
     submission_to_spec,
 )
@@ -38,6 +38,11 @@
         self._store = store
         self._book = book
         self._clock = clock
+        self._unsure: set[str] = set()
+
+    def may_have_added(self, batch_id: str) -> bool:
+        """Says whether a submission here ended without a clear answer."""
+        return batch_id in self._unsure
 
     async def add_submission(
         self, submission: Submission, deadline: float
@@ -56,8 +61,12 @@
         spec = submission_to_spec(submission)
         if len(orjson.dumps(spec)) > MAX_ENTRY_BYTES:
             return Failure(ResultCode.VALUE_TOO_LARGE, "The batch is too big.")
-        name = entry_name(submission.id, SUBMISSION_SUFFIX)
-        failure = await self._create(name, spec, deadline)
+        self._unsure.add(submission.id)
+        failure = await self._create(
+            submission.id, SUBMISSION_SUFFIX, spec, deadline
+        )
+        if failure is None or failure.code != ResultCode.OUTCOME_UNKNOWN:
+            self._unsure.discard(submission.id)
         if failure is not None:
             return failure
         return self._book.by_id[submission.id]
@@ -67,9 +76,7 @@
         if batch.is_ended:
             return None
         return await self._create(
-            entry_name(batch.id, END_SUFFIX),
-            {"ended_at": self._clock.wall()},
-            deadline,
+            batch.id, END_SUFFIX, {"ended_at": self._clock.wall()}, deadline
         )
 
     async def append(self, batch: Batch, results: Sequence[Result]) -> None:
@@ -82,8 +89,9 @@
         left = [result for result in results if result.id not in batch.listed]
         while left and not batch.is_ended:
             group = ResultGroup(len(batch.results), _fitting(left))
-            name = entry_name(batch.id, batch.entries + 1)
-            outcome = await self._create_once(name, results_to_spec(group))
+            outcome = await self._create_once(
+                batch.id, str(batch.entries + 1), results_to_spec(group)
+            )
             if isinstance(outcome, Failure):
                 logs.event(
                     logging.WARNING,
@@ -104,9 +112,7 @@
           BATCH_UNKNOWN: There is none.
           STORE_UNAVAILABLE: The store can't tell.
         """
-        document = await self._store.get(
-            LOG_KIND, entry_name(batch_id, SUBMISSION_SUFFIX)
-        )
+        document = await self._get(batch_id, SUBMISSION_SUFFIX)
         if isinstance(document, Failure):
             if document.code == ResultCode.OBJECT_NOT_FOUND:
                 return Failure(ResultCode.BATCH_UNKNOWN, "No such batch.")
@@ -122,9 +128,7 @@
         """Reads the entries of a batch that this process has not heard of."""
         started = self._clock.monotonic()
         while not batch.is_complete:
-            document = await self._store.get(
-                LOG_KIND, entry_name(batch.id, batch.entries + 1)
-            )
+            document = await self._get(batch.id, str(batch.entries + 1))
             if isinstance(document, Failure):
                 if document.code == ResultCode.OBJECT_NOT_FOUND:
                     batch.confirmed_at = started
@@ -139,7 +143,7 @@
         Errors:
           STORE_UNAVAILABLE: The store can't tell.
         """
-        end = await self._store.get(LOG_KIND, entry_name(batch.id, END_SUFFIX))
+        end = await self._get(batch.id, END_SUFFIX)
         if not isinstance(end, Failure):
             self._book.apply(end)
             return None
@@ -151,24 +155,29 @@
         """Removes all entries of a batch, the submission last."""
         suffixes = itertools.chain(
             (END_SUFFIX,),
-            range(1, batch.entries + 1),
+            map(str, range(1, batch.entries + 1)),
             (SUBMISSION_SUFFIX,),
         )
         for suffix in suffixes:
             failure = await self._store.delete(
-                LOG_KIND, entry_name(batch.id, suffix)
+                kind_of(suffix), entry_name(batch.id, suffix)
             )
             if failure is not None:
                 return failure
         return None
 
+    async def _get(self, batch_id: str, suffix: str) -> Document | Failure:
+        return await self._store.get(
+            kind_of(suffix), entry_name(batch_id, suffix)
+        )
+
     async def _create(
-        self, name: str, spec: dict, deadline: float
+        self, batch_id: str, suffix: str, spec: dict, deadline: float
     ) -> Failure | None:
         retry_s = FIRST_RETRY_S
         is_unknown = False
         while True:
-            outcome = await self._create_once(name, spec)
+            outcome = await self._create_once(batch_id, suffix, spec)
             if outcome is None:
                 return None
             if outcome.code == ResultCode.VALUE_TOO_LARGE:
@@ -182,13 +191,17 @@
             return Failure(ResultCode.OUTCOME_UNKNOWN, outcome.reason)
         return outcome
 
-    async def _create_once(self, name: str, spec: dict) -> Failure | None:
+    async def _create_once(
+        self, batch_id: str, suffix: str, spec: dict
+    ) -> Failure | None:
         """Creates an entry, or takes the one that stands there."""
-        outcome = await self._store.create(LOG_KIND, name, spec)
+        outcome = await self._store.create(
+            kind_of(suffix), entry_name(batch_id, suffix), spec
+        )
         if isinstance(outcome, Failure) and (
             outcome.code == ResultCode.VERSION_CONFLICT
         ):
-            outcome = await self._store.get(LOG_KIND, name)
+            outcome = await self._get(batch_id, suffix)
             if isinstance(outcome, Failure):
                 # It exists, and it may be an earlier write of this process.
                 return Failure(ResultCode.OUTCOME_UNKNOWN, outcome.reason)
--- a/libs/batches/src/shallotstand/batches/records.py
+++ b/libs/batches/src/shallotstand/batches/records.py
@@ -4,9 +4,12 @@
 import enum
 from typing import Any, NamedTuple
 
-# Kind of the log's entries. Entry `ID.0` is the submission, `ID.1` and on are
-# groups of results in the order of their positions, `ID.end` ends the batch.
+# Kind of the log's entries that every process hears of: `ID.0` is the
+# submission, `ID.end` ends the batch.
 LOG_KIND = "batch-log"
+# Kind of its other entries: `ID.1` and on are groups of results in the order
+# of their positions. They are read by those who need them.
+RESULTS_KIND = "batch-results"
 SUBMISSION_SUFFIX = "0"
 END_SUFFIX = "end"
 
@@ -114,6 +117,12 @@
     results: tuple[Result, ...]
 
 
+def kind_of(suffix: str | int) -> str:
+    """Returns the kind of an entry."""
+    is_followed = suffix in (SUBMISSION_SUFFIX, END_SUFFIX)
+    return LOG_KIND if is_followed else RESULTS_KIND
+
+
 def entry_name(batch_id: str, suffix: str | int) -> str:
     """Returns the name of an entry of the log."""
     return f"{batch_id}.{suffix}"
--- a/libs/batches/src/shallotstand/batches/runner.py
+++ b/libs/batches/src/shallotstand/batches/runner.py
@@ -11,6 +11,7 @@
 from shallotstand.batches.progress import Progress, ProgressCache
 from shallotstand.batches.records import Item, Result, ResultState
 from shallotstand.core import logs
+from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 
 # Results that end within this time are listed together; a write to the store
@@ -21,6 +22,9 @@
 LAST_LISTING_PAUSE_S = 0.03
 # How often it is decided anew which process runs each batch.
 REVIEW_S = 0.25
+# A batch that no peer runs is read and, if it is open, taken over after this;
+# the process that accepted it tells that it runs it within half a second.
+ABANDONED_S = 1.2
 
 
 class Ownership(Protocol):
@@ -30,6 +34,10 @@
         """Says whether this process is to run the batch now."""
         ...
 
+    def is_abandoned(self, batch_id: str) -> bool:
+        """Says whether nobody runs a batch that this process is to look at."""
+        ...
+
 
 class BatchRunner:
     """The batches that run in this process."""
@@ -51,12 +59,19 @@
         self._process_id = process_id
         self._texts = ProgressCache()
         self._tasks_by_batch: dict[str, asyncio.Task] = {}
+        self._ran_here: set[str] = set()
+        self._abandoned_since: dict[str, float] = {}
         self._is_running = False
         book.subscribe(self._review)
 
-    def running(self) -> tuple[str, ...]:
-        """Returns the identifiers of the batches that run here."""
-        return tuple(self._tasks_by_batch)
+    def known(self) -> tuple[str, ...]:
+        """Returns the identifiers of the batches that run or ran here."""
+        self._ran_here &= self._book.by_id.keys()
+        return tuple(self._ran_here)
+
+    def runs(self, batch_id: str) -> bool:
+        """Says whether a batch runs here."""
+        return batch_id in self._tasks_by_batch
 
     async def run(self) -> None:
         """Reviews all batches until cancelled.
@@ -67,6 +82,7 @@
         while True:
             for batch in list(self._book.by_id.values()):
                 self._review(batch)
+            await self._read_abandoned()
             await asyncio.sleep(REVIEW_S)
 
     async def stop(self) -> None:
@@ -77,6 +93,38 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _read_abandoned(self) -> None:
+        """Reads the batches that nobody seems to run; then they are reviewed.
+
+        What a peer told of them is only that they exist.
+        """
+        now = self._tools.clock.monotonic()
+        abandoned = {
+            batch_id
+            for batch_id in self._book.unread
+            if self._log.may_have_added(batch_id)
+            or self._ownership.is_abandoned(batch_id)
+        }
+        self._abandoned_since = {
+            batch_id: self._abandoned_since.get(batch_id, now)
+            for batch_id in abandoned
+        }
+        for batch_id, since in self._abandoned_since.items():
+            if now - since < ABANDONED_S:
+                continue
+            batch = await self._log.read(batch_id)
+            failed = isinstance(batch, Failure)
+            logs.event(
+                logging.INFO,
+                "Batch that nobody runs was read",
+                batch=batch_id,
+                owner="" if failed else batch.submission.owner,
+                is_complete=not failed and batch.is_complete,
+                code=int(batch.code) if failed else 0,
+            )
+            if failed and batch.code == ResultCode.BATCH_UNKNOWN:
+                self._book.unread.discard(batch_id)
+
     def _review(self, batch: Batch) -> None:
         task = self._tasks_by_batch.get(batch.id)
         if not batch.is_open:
@@ -98,6 +146,7 @@
         )
         task = asyncio.create_task(self._run_batch(batch))
         self._tasks_by_batch[batch.id] = task
+        self._ran_here.add(batch.id)
         task.add_done_callback(lambda done: self._finish(batch, done))
 
     def _finish(self, batch: Batch, task: asyncio.Task) -> None:
--- a/libs/batches/tests/test_log.py
+++ b/libs/batches/tests/test_log.py
@@ -8,6 +8,7 @@
 from shallotstand.batches.log import BatchLog
 from shallotstand.batches.records import (
     LOG_KIND,
+    RESULTS_KIND,
     Result,
     ResultState,
     submission_from_spec,
@@ -55,6 +56,12 @@
     asyncio.run(start())
 
 
+async def all_entries(store):
+    followed = await store.list(LOG_KIND)
+    results = await store.list(RESULTS_KIND)
+    return followed.documents + results.documents
+
+
 def batch_of(*names):
     return submission("batch", *(item(name) for name in names))
 
@@ -120,7 +127,7 @@
         failure = await first.service.submit(batch_of("a"), soon(0.1))
         assert failure.code == ResultCode.STORE_UNAVAILABLE
         store.set_down(False)
-        assert (await store.list(LOG_KIND)).documents == ()
+        assert await all_entries(store) == ()
 
     run(scenario)
 
@@ -206,7 +213,7 @@
         await first.log.append(batch, [result("a")])
         await first.log.append(batch, [result("b")])
         await first.service.end("account", "batch", soon())
-        documents = (await store.list(LOG_KIND)).documents
+        documents = await all_entries(store)
         for index in order:
             second.book.take(Change(documents[index], False))
         copied = second.book.by_id["batch"]
@@ -233,7 +240,7 @@
         await first.log.append(batch, [result("a")])
         await first.service.end("account", "batch", soon())
         assert not isinstance(await first.log.remove(batch), Failure)
-        assert (await store.list(LOG_KIND)).documents == ()
+        assert await all_entries(store) == ()
 
     run(scenario)
 
--- /dev/null
+++ b/libs/batches/tests/test_peer_reads.py
@@ -0,0 +1,147 @@
+"""Batches that another process runs: reads, and what becomes of them."""
+
+import asyncio
+
+from shallotstand.batches.book import BatchBook
+from shallotstand.batches.log import BatchLog
+from shallotstand.batches.records import LOG_KIND, Result, ResultState
+from shallotstand.batches.service import BatchService
+from shallotstand.core.clock import SystemClock
+from shallotstand.core.codes import ResultCode
+from shallotstand.core.failure import Failure
+from shallotstand.documents.protocols import Change
+from shallotstand.standins.memory_documents import MemoryDocuments
+
+from .conftest import item, submission
+
+CLOCK = SystemClock()
+
+
+class Peers:
+    """The peer that runs the batch; `service` answers for it."""
+
+    def __init__(self):
+        self.service = None
+        self.asked = 0
+
+    async def fetch(self, batch_id, knows_submission, entries, wait_s):
+        self.asked += 1
+        if self.service is None:
+            return Failure(ResultCode.LINK_LOST, "no peer")
+        return await self.service.entries_for_peer(
+            batch_id, knows_submission, entries, wait_s
+        )
+
+
+class World:
+    """A process that runs a batch, and one where it is read."""
+
+    def __init__(self):
+        self.store = MemoryDocuments()
+        self.runner_book, self.book = BatchBook(), BatchBook()
+        self.runner_log = BatchLog(self.store, self.runner_book, CLOCK)
+        self.peers = Peers()
+        self.peers.service = BatchService(
+            self.runner_book, self.runner_log, CLOCK
+        )
+        self.service = BatchService(
+            self.book,
+            BatchLog(self.store, self.book, CLOCK),
+            CLOCK,
+            lambda _: False,
+            self.peers,
+        )
+
+    async def start(self):
+        batch = submission("batch", item("a"), item("b"))
+        await self.runner_log.add_submission(batch, CLOCK.monotonic() + 1)
+        return self.runner_book.by_id["batch"]
+
+    async def read(self, position=0, wait_s=0.0):
+        page = await self.service.read("account", "batch", position, wait_s)
+        return [listed.id for listed in page.results]
+
+
+def run(scenario):
+    async def start():
+        world = World()
+        batch = await world.start()
+        await asyncio.wait_for(scenario(world, batch), 10)
+
+    asyncio.run(start())
+
+
+def result(name):
+    return Result(name, ResultState.COMPLETED, f"text {name}", (1,), "seal")
+
+
+def test_read_comes_from_the_peer_without_a_call():
+    async def scenario(world, batch):
+        await world.runner_log.append(batch, [result("a")])
+        world.store.calls.clear()
+        assert await world.read() == ["a"]
+        assert await world.read() == ["a"]
+        assert sum(world.store.calls.values()) == 0
+        body = await world.service.body("account", "batch", "b")
+        assert body == item("b").body
+
+    run(scenario)
+
+
+def test_waiting_read_ends_as_the_peer_lists_a_result():
+    async def scenario(world, batch):
+        reading = asyncio.create_task(world.read(0, 1.0))
+        await asyncio.sleep(0.05)
+        await world.runner_log.append(batch, [result("a")])
+        started = CLOCK.monotonic()
+        assert await reading == ["a"]
+        assert CLOCK.monotonic() - started < 0.2
+
+    run(scenario)
+
+
+def test_read_comes_from_the_store_if_the_peer_is_gone():
+    async def scenario(world, batch):
+        assert await world.read() == []
+        await world.runner_log.append(batch, [result("a")])
+        world.peers.service = None
+        assert await world.read() == ["a"]
+
+    run(scenario)
+
+
+def test_position_that_the_peer_does_not_know_is_read_from_the_store():
+    # The peer lost the batch to another process, and its link still stands.
+    async def scenario(world, batch):
+        other_book = BatchBook()
+        other_log = BatchLog(world.store, other_book, CLOCK)
+        taken = await other_log.read("batch")
+        await other_log.append(taken, [result("a")])
+        batch.confirmed_at = CLOCK.monotonic() - 1.0
+        assert await world.read() == ["a"]
+
+    run(scenario)
+
+
+def test_name_alone_makes_a_batch_known_as_unread():
+    async def scenario(world, batch):
+        for document in (await world.store.list(LOG_KIND)).documents:
+            world.book.take(Change(document._replace(spec=None), False))
+        assert world.book.unread == {"batch"}
+        assert world.book.by_id == {}
+        assert await world.read() == []
+        assert world.book.unread == set()
+
+    run(scenario)
+
+
+def test_name_of_an_end_ends_a_batch():
+    async def scenario(world, batch):
+        await world.read()
+        await world.runner_log.add_end(batch, CLOCK.monotonic() + 1)
+        for document in (await world.store.list(LOG_KIND)).documents:
+            world.book.take(Change(document._replace(spec=None), False))
+        assert world.book.by_id["batch"].is_ended
+        assert world.book.unread == set()
+
+    run(scenario)
--- a/libs/batches/tests/test_runner.py
+++ b/libs/batches/tests/test_runner.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+from shallotstand.batches.book import BatchBook
 from shallotstand.batches.checkpoints import PROGRESS_KIND, Checkpoints
+from shallotstand.batches.log import BatchLog
 from shallotstand.batches.progress import Progress
 from shallotstand.batches.records import (
     END_SUFFIX,
@@ -12,6 +14,7 @@
     entry_name,
 )
 from shallotstand.batches.runner import BatchRunner
+from shallotstand.core.codes import ResultCode
 from shallotstand.documents.protocols import Change
 from shallotstand.standins.memory_engines import (
     MemoryStream,
@@ -23,11 +26,14 @@
 
 
 class Mine:
-    """Every batch is this process's."""
+    """Every batch is this process's, or left to it by another one."""
 
     def is_mine(self, batch):
         return True
 
+    def is_abandoned(self, batch_id):
+        return True
+
 
 def run(world, scenario):
     world.endpoints.put(endpoint("a"))
@@ -67,7 +73,7 @@
         batch = submission("batch", *(item(f"i{n}") for n in range(6)))
         await world.log.add_submission(batch, soon(world))
         await until(lambda: world.batches.by_id["batch"].is_complete)
-        await until(lambda: not runner.running())
+        await until(lambda: not runner.runs("batch"))
 
     run(world, scenario)
 
@@ -79,7 +85,7 @@
         known = await world.log.add_submission(batch, soon(world))
         await until(lambda: len(world.engines.sent) == 2)
         await world.log.add_end(known, soon(world))
-        await until(lambda: not runner.running())
+        await until(lambda: not runner.runs("batch"))
         assert world.batches.by_id["batch"].results == []
 
     run(world, scenario)
@@ -111,7 +117,46 @@
         await until(lambda: len(world.engines.sent) == 1)
         listed = Result("a", ResultState.COMPLETED, "text", (1,), "seal")
         await world.log.append(known, [listed])
-        await until(lambda: not runner.running())
+        await until(lambda: not runner.runs("batch"))
+
+    run(world, scenario)
+
+
+def test_batch_known_by_name_only_is_read_and_run_if_nobody_runs_it(world):
+    async def scenario(runner):
+        other = BatchLog(world.store, BatchBook(), world.tools.clock)
+        batch = submission("batch", item("a"), owner="gateway-2")
+        await other.add_submission(batch, soon(world))
+        documents = (await world.store.list(LOG_KIND)).documents
+        world.batches.take(Change(documents[0]._replace(spec=None), False))
+        assert world.batches.unread == {"batch"}
+        await until(lambda: world.batches.by_id)
+        await until(lambda: world.batches.by_id["batch"].is_complete)
+
+    run(world, scenario)
+
+
+def test_batch_that_was_removed_meanwhile_is_forgotten(world):
+    async def scenario(runner):
+        world.batches.unread.add("gone")
+        await until(lambda: not world.batches.unread)
+        assert world.engines.sent == []
+
+    run(world, scenario)
+
+
+def test_submission_without_an_answer_is_run_once_it_is_heard_of(world):
+    # Its caller got no answer; the process is the batch's owner all the same.
+    async def scenario(runner):
+        world.store.lost_writes = 1
+        batch = submission("batch", item("a"))
+        outcome = await world.log.add_submission(batch, 0.0)
+        assert outcome.code == ResultCode.OUTCOME_UNKNOWN
+        assert world.log.may_have_added("batch")
+        documents = (await world.store.list(LOG_KIND)).documents
+        world.batches.take(Change(documents[0]._replace(spec=None), False))
+        await until(lambda: world.batches.by_id)
+        await until(lambda: world.batches.by_id["batch"].is_complete)
 
     run(world, scenario)
 
--- a/libs/documents/src/shallotstand/documents/follower.py
+++ b/libs/documents/src/shallotstand/documents/follower.py
@@ -159,6 +159,10 @@
 
     def _apply(self, change: Change) -> None:
         name = change.document.name
+        known = self._documents_by_name.get(name)
+        if known is not None and known.revision > change.document.revision:
+            # A peer tells of a state that is over.
+            return
         if change.is_removed:
             self._documents_by_name.pop(name, None)
         else:
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -250,6 +250,35 @@
   batches @4 :List(Text);
 }
 
+struct StoredObject {
+  name @0 :Text;
+  revision @1 :UInt64;
+  isRemoved @2 :Bool;
+  hasContent @3 :Bool;
+  content @4 :Data;
+}
+
+struct StoreChanges {
+  kind @0 :Text;
+  fromRevision @1 :UInt64;
+  toRevision @2 :UInt64;
+  objects @3 :List(StoredObject);
+}
+
+struct BatchAsk {
+  number @0 :UInt64;
+  batch @1 :Text;
+  knowsSubmission @2 :Bool;
+  entries @3 :UInt32;
+  waitMs @4 :UInt32;
+}
+
+struct BatchAnswer {
+  number @0 :UInt64;
+  isSure @1 :Bool;
+  entries @2 :List(StoredObject);
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -276,5 +305,8 @@
     loadSamples @21 :LoadSamples;
     suspicion @22 :Suspicion;
     presence @23 :Presence;
+    storeChanges @24 :StoreChanges;
+    batchAsk @25 :BatchAsk;
+    batchAnswer @26 :BatchAnswer;
   }
 }
--- a/libs/peers/src/shallotstand/peers/mesh.py
+++ b/libs/peers/src/shallotstand/peers/mesh.py
@@ -9,8 +9,10 @@
 from shallotstand.core import logs
 from shallotstand.core.clock import Clock
 from shallotstand.core.failure import Failure
+from shallotstand.link.codec import encode
+from shallotstand.link.gateway_messages import Presence
 from shallotstand.link.link import Link
-from shallotstand.link.messages import Presence
+from shallotstand.link.messages import Message
 from shallotstand.peers.registry import PeerAddress, PeerRegistry
 
 # How often a process tells its peers of itself.
@@ -30,6 +32,10 @@
 FORGET_S = 90.0
 
 
+# Takes a message and the link that it came by.
+Handler = Callable[[Message, Link], None]
+
+
 class _PeerState:
     """What is known of one machine's process."""
 
@@ -70,6 +76,8 @@
         self._states_by_node: dict[str, _PeerState] = {}
         self._dials_by_node: dict[str, asyncio.Task] = {}
         self._links: set[Link] = set()
+        self._links_by_process: dict[str, Link] = {}
+        self._handlers_by_type: dict[type, Handler] = {}
         self._listeners: list[Callable[[], None]] = []
         self._server: asyncio.Server | None = None
 
@@ -92,10 +100,34 @@
         """Calls the listener whenever a peer has told of itself."""
         self._listeners.append(listener)
 
+    def handle(self, message_type: type, handler: Handler) -> None:
+        """Calls the handler with each message of a type."""
+        self._handlers_by_type[message_type] = handler
+
     def tell_now(self) -> None:
-        """Tells all peers of a change at once."""
+        """Tells all peers of a change of this process at once."""
         self._tell()
 
+    def tell(self, message: Message) -> None:
+        """Sends a message to all peers."""
+        if not self._links:
+            return
+        encoded = encode(message)
+        for link in self._links:
+            link.send_encoded(encoded)
+
+    def link_to_runner(self, batch_id: str) -> Link | None:
+        """Returns a link to a working peer that runs a batch."""
+        return next(
+            (
+                self._links_by_process[presence.process_id]
+                for presence in self._working()
+                if batch_id in presence.batches
+                and presence.process_id in self._links_by_process
+            ),
+            None,
+        )
+
     @property
     def is_settled(self) -> bool:
         """Whether the peers that live have had time to report."""
@@ -127,6 +159,10 @@
             default="",
         )
 
+    def is_first_for(self, name: str) -> bool:
+        """Says whether this process comes first for some work."""
+        return self.first_for(name) == self._own.process_id
+
     def running_by_endpoint(self) -> dict[str, int]:
         """Returns the requests that peers run, by endpoint."""
         running = collections.Counter()
@@ -157,8 +193,7 @@
             self._reaching_since = None
         elif self._reaching_since is None:
             self._reaching_since = self._clock.monotonic()
-        for link in self._links:
-            link.send(presence)
+        self.tell(presence)
 
     def _dial_missing(self) -> None:
         for node, address in list(self._registry.by_node.items()):
@@ -184,16 +219,22 @@
     async def _serve(self, link: Link) -> None:
         """Reads one connection until it ends."""
         node = ""
+        process_id = ""
         self._links.add(link)
         link.limit_unacknowledged(SILENCE_S)
         link.send(self._describe())
         try:
             async for message in link.messages():
                 if isinstance(message, Presence):
-                    node = message.node
+                    node, process_id = message.node, message.process_id
+                    self._links_by_process[process_id] = link
                     self._hear(message)
+                elif handler := self._handlers_by_type.get(type(message)):
+                    handler(message, link)
         finally:
             self._links.discard(link)
+            if self._links_by_process.get(process_id) is link:
+                del self._links_by_process[process_id]
             if node:
                 self._break(node)
             await link.close()
--- /dev/null
+++ b/libs/peers/tests/test_change_feed.py
@@ -0,0 +1,95 @@
+"""What a peer tells of the store extends a copy without gaps."""
+
+import asyncio
+
+from shallotstand.core.clock import SystemClock
+from shallotstand.documents.protocols import Change, Changes, Document
+from shallotstand.peers.change_feed import ChangeFeed
+
+
+def changes(to_revision, *revisions, removed=()):
+    return Changes(
+        tuple(
+            Change(Document("kind", f"n{r}", r, {}), r in removed)
+            for r in revisions
+        ),
+        to_revision,
+    )
+
+
+def seen(feed, revision):
+    found = feed.after(revision)
+    return found and [c.document.revision for c in found.changes]
+
+
+def make_feed():
+    return ChangeFeed(SystemClock())
+
+
+def test_segments_that_follow_one_another_are_joined():
+    async def check():
+        feed = make_feed()
+        feed.add(10, changes(20, 11, 20))
+        feed.add(20, changes(25, 25))
+        assert seen(feed, 10) == [11, 20, 25]
+        assert feed.after(10).revision == 25
+
+    asyncio.run(check())
+
+
+def test_known_changes_are_left_out():
+    async def check():
+        feed = make_feed()
+        feed.add(10, changes(20, 11, 15, 20))
+        assert seen(feed, 15) == [20]
+
+    asyncio.run(check())
+
+
+def test_gap_is_told():
+    async def check():
+        feed = make_feed()
+        feed.add(10, changes(20, 11))
+        assert feed.after(9) is None
+
+    asyncio.run(check())
+
+
+def test_copy_that_is_ahead_needs_nothing():
+    async def check():
+        feed = make_feed()
+        feed.add(10, changes(20, 11))
+        assert feed.after(30) == Changes((), 30)
+
+    asyncio.run(check())
+
+
+def test_segments_of_two_watchers_may_overlap():
+    async def check():
+        feed = make_feed()
+        feed.add(10, changes(20, 12, 18))
+        feed.add(15, changes(25, 18, 24))
+        assert seen(feed, 12) == [18, 24]
+
+    asyncio.run(check())
+
+
+def test_removal_is_passed_on_whatever_revision_it_names():
+    async def check():
+        feed = make_feed()
+        feed.add(10, changes(20, 5, removed=(5,)))
+        assert seen(feed, 12) == [5]
+
+    asyncio.run(check())
+
+
+def test_feed_without_news_grows_old():
+    async def check():
+        feed = make_feed()
+        assert not feed.is_fresh(0.05)
+        feed.add(10, changes(10))
+        assert feed.is_fresh(0.05)
+        await asyncio.sleep(0.06)
+        assert not feed.is_fresh(0.05)
+
+    asyncio.run(check())
--- a/libs/peers/tests/test_mesh.py
+++ b/libs/peers/tests/test_mesh.py
@@ -6,7 +6,7 @@
 from shallotstand.dispatch.endpoints import EndpointBook
 from shallotstand.dispatch.slots import Need, SlotPool
 from shallotstand.documents.protocols import Change
-from shallotstand.link.messages import EndpointUse, Presence
+from shallotstand.link.gateway_messages import EndpointUse, Presence
 from shallotstand.peers.mesh import PeerMesh
 from shallotstand.peers.registry import (
     GATEWAYS_KIND,
