Take the batches of a stopping gateway over at once, with their last texts

Cause: since submissions are known by name only, a batch waited 1.2 s for a gateway to claim it, also if its gateway had claimed it and was stopping; and a stopping gateway's runs took their texts out of its checkpoint before others read it. Now a claimed batch is read at once, from the stopping gateway itself while its link stands, and the last checkpoint is written before the runs end.

--- a/apps/gateway/src/shallotstand/gateway/batching.py
+++ b/apps/gateway/src/shallotstand/gateway/batching.py
@@ -24,6 +24,9 @@
 from shallotstand.peers.registry import PeerAddress, PeerRegistry
 from shallotstand.peers.shared_store import SharedStore
 
+# The last texts are worth a short wait; a slow store may not hold a stop up.
+LAST_WRITE_S = 0.5
+
 
 class Identity(NamedTuple):
     """A process and the machine that it runs on."""
@@ -88,6 +91,13 @@
             lambda: serving.desk.configuration,
             clock,
         )
+        self.service = BatchService(
+            self.book,
+            log,
+            clock,
+            self._runs_here,
+            PeerBatchReads(self._mesh, LOG_KIND, self._answer_peer),
+        )
         self._runner = BatchRunner(
             tools,
             self.book,
@@ -95,13 +105,7 @@
             MeshOwnership(process_id, boot.node, self._mesh),
             self._checkpoints,
             process_id,
-        )
-        self.service = BatchService(
-            self.book,
-            log,
-            clock,
-            self._runner.runs,
-            PeerBatchReads(self._mesh, LOG_KIND, self._answer_peer),
+            self.service.load,
         )
         self._retention = Retention(
             self.book,
@@ -125,6 +129,9 @@
         """Returns the identifiers of the batches that run or ran here."""
         return self._runner.known()
 
+    def _runs_here(self, batch_id: str) -> bool:
+        return self._runner.runs(batch_id)
+
     async def _answer_peer(
         self, batch_id: str, knows_submission: bool, entries: int, wait_s: float
     ) -> tuple[Document, ...] | Failure:
@@ -134,5 +141,6 @@
 
     async def stop(self) -> None:
         """Leaves the batches to other processes."""
-        self._mesh.tell_now()
+        await self._checkpoints.write_last(LAST_WRITE_S)
         await self._runner.stop()
+        self._mesh.tell_now()
--- a/apps/gateway/src/shallotstand/gateway/ownership.py
+++ b/apps/gateway/src/shallotstand/gateway/ownership.py
@@ -41,6 +41,10 @@
             and self._mesh.is_first_for(batch_id)
         )
 
+    def was_claimed(self, batch_id: str) -> bool:
+        """Says whether a peer has run a batch."""
+        return self._mesh.was_claimed(batch_id)
+
     def _is_left_to_me(self, batch_id: str, owner: str) -> bool:
         if owner.rpartition(".")[0] == self._node:
             # An earlier process of this machine; it can't be running.
--- a/libs/batches/src/shallotstand/batches/checkpoints.py
+++ b/libs/batches/src/shallotstand/batches/checkpoints.py
@@ -6,6 +6,7 @@
 from absl import logging
 from shallotstand.batches.progress import Progress
 from shallotstand.core import logs
+from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.documents.own_document import OwnDocument
 from shallotstand.documents.protocols import DocumentStore
@@ -41,6 +42,7 @@
         self._document = OwnDocument(store, PROGRESS_KIND, node)
         self._progress_by_item: dict[str, Progress] = {}
         self._written = 0
+        self._is_final = False
 
     def begin(self, item_id: str, progress: Progress) -> None:
         """Notes that an item runs here."""
@@ -54,6 +56,8 @@
         """Writes the texts until cancelled."""
         while True:
             await asyncio.sleep(CHECKPOINT_S)
+            if self._is_final:
+                return
             events = sum(
                 len(progress.events)
                 for progress in self._progress_by_item.values()
@@ -71,6 +75,27 @@
                     reason=failure.reason,
                 )
 
+    async def write_last(self, timeout_s: float) -> None:
+        """Writes the texts for the last time; others go on with them.
+
+        Args:
+          timeout_s: Seconds that the write may take.
+        """
+        self._is_final = True
+        records = self._records()
+        failure: Failure | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                failure = await self._document.write(records)
+        except TimeoutError:
+            failure = Failure(ResultCode.OUTCOME_UNKNOWN, "No answer in time.")
+        logs.event(
+            logging.INFO,
+            "Last checkpoint",
+            texts=len(records),
+            code=int(failure.code) if failure else 0,
+        )
+
     async def load(self) -> dict[str, Progress] | Failure:
         """Returns the texts that all processes left, the longest of each."""
         listing = await self._store.list(PROGRESS_KIND)
--- a/libs/batches/src/shallotstand/batches/runner.py
+++ b/libs/batches/src/shallotstand/batches/runner.py
@@ -1,6 +1,7 @@
 """Runs the batches that this process is to run."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from absl import logging
@@ -22,9 +23,9 @@
 LAST_LISTING_PAUSE_S = 0.03
 # How often it is decided anew which process runs each batch.
 REVIEW_S = 0.25
-# A batch that no peer runs is read and, if it is open, taken over after this;
-# the process that accepted it tells that it runs it within half a second.
-ABANDONED_S = 1.2
+# A batch that no peer ever claimed is read and, if it is open, taken over
+# after this; the process that accepted it claims it within half a second.
+UNCLAIMED_S = 1.2
 
 
 class Ownership(Protocol):
@@ -38,6 +39,10 @@
         """Says whether nobody runs a batch that this process is to look at."""
         ...
 
+    def was_claimed(self, batch_id: str) -> bool:
+        """Says whether a peer has run a batch."""
+        ...
+
 
 class BatchRunner:
     """The batches that run in this process."""
@@ -50,13 +55,26 @@
         ownership: Ownership,
         checkpoints: Checkpoints,
         process_id: str,
+        load: Callable[[str], Awaitable[Batch | Failure]],
     ):
+        """Makes the runner of a process.
+
+        Args:
+          tools: What runs of items share.
+          book: The batches known here.
+          log: Their log.
+          ownership: Decides which of them run here.
+          checkpoints: Texts in progress.
+          process_id: This process.
+          load: Reads a batch that is not known here.
+        """
         self._tools = tools
         self._book = book
         self._log = log
         self._ownership = ownership
         self._checkpoints = checkpoints
         self._process_id = process_id
+        self._load = load
         self._texts = ProgressCache()
         self._tasks_by_batch: dict[str, asyncio.Task] = {}
         self._ran_here: set[str] = set()
@@ -110,9 +128,10 @@
             for batch_id in abandoned
         }
         for batch_id, since in self._abandoned_since.items():
-            if now - since < ABANDONED_S:
+            was_claimed = self._ownership.was_claimed(batch_id)
+            if not was_claimed and now - since < UNCLAIMED_S:
                 continue
-            batch = await self._log.read(batch_id)
+            batch = await self._load(batch_id)
             failed = isinstance(batch, Failure)
             logs.event(
                 logging.INFO,
@@ -120,6 +139,7 @@
                 batch=batch_id,
                 owner="" if failed else batch.submission.owner,
                 is_complete=not failed and batch.is_complete,
+                was_claimed=was_claimed,
                 code=int(batch.code) if failed else 0,
             )
             if failed and batch.code == ResultCode.BATCH_UNKNOWN:
--- a/libs/batches/src/shallotstand/batches/service.py
+++ b/libs/batches/src/shallotstand/batches/service.py
@@ -172,6 +172,19 @@
                 return failure
         return _documents(batch, knows_submission, entries)
 
+    async def load(self, batch_id: str) -> Batch | Failure:
+        """Returns a batch; asks a peer or the store if it is not known here.
+
+        Errors:
+          BATCH_UNKNOWN: There is none.
+          STORE_UNAVAILABLE: It can't be told now.
+        """
+        batch = self._book.by_id.get(batch_id)
+        if batch is None and self._peers is not None:
+            found = await self._peers.fetch(batch_id, False, 0, 0.0)
+            batch = self._apply(batch_id, found)
+        return batch or await self._log.read(batch_id)
+
     async def body(
         self, account: str, batch_id: str, item_id: str
     ) -> bytes | Failure:
@@ -213,12 +226,7 @@
         return failure
 
     async def _find(self, account: str, batch_id: str) -> Batch | Failure:
-        batch = self._book.by_id.get(batch_id)
-        if batch is None and self._peers is not None:
-            found = await self._peers.fetch(batch_id, False, 0, 0.0)
-            batch = self._apply(batch_id, found)
-        if batch is None:
-            batch = await self._log.read(batch_id)
+        batch = await self.load(batch_id)
         if isinstance(batch, Failure):
             return batch
         return _check_account(batch, account) or batch
--- a/libs/batches/tests/test_runner.py
+++ b/libs/batches/tests/test_runner.py
@@ -3,7 +3,11 @@
 import asyncio
 
 from shallotstand.batches.book import BatchBook
-from shallotstand.batches.checkpoints import PROGRESS_KIND, Checkpoints
+from shallotstand.batches.checkpoints import (
+    CHECKPOINT_S,
+    PROGRESS_KIND,
+    Checkpoints,
+)
 from shallotstand.batches.log import BatchLog
 from shallotstand.batches.progress import Progress
 from shallotstand.batches.records import (
@@ -13,7 +17,7 @@
     ResultState,
     entry_name,
 )
-from shallotstand.batches.runner import BatchRunner
+from shallotstand.batches.runner import UNCLAIMED_S, BatchRunner
 from shallotstand.core.codes import ResultCode
 from shallotstand.documents.protocols import Change
 from shallotstand.standins.memory_engines import (
@@ -34,6 +38,9 @@
     def is_abandoned(self, batch_id):
         return True
 
+    def was_claimed(self, batch_id):
+        return batch_id == "claimed"
+
 
 def run(world, scenario):
     world.endpoints.put(endpoint("a"))
@@ -48,6 +55,7 @@
             Mine(),
             Checkpoints(world.store, "node-1"),
             "gateway-1",
+            world.log.read,
         )
         task = asyncio.create_task(runner.run())
         try:
@@ -136,6 +144,37 @@
     run(world, scenario)
 
 
+def test_batch_that_a_peer_left_is_taken_at_once(world):
+    async def scenario(runner):
+        started = world.tools.clock.monotonic()
+        world.batches.unread.add("claimed")
+        await until(lambda: ("get", LOG_KIND) in world.store.calls)
+        assert world.tools.clock.monotonic() - started < UNCLAIMED_S / 2
+
+    run(world, scenario)
+
+
+def test_texts_of_a_stopping_process_stay_for_the_next(world):
+    # The end of its runs took them out of the store before a peer had read
+    # them; each batch began anew at a rolling restart.
+    async def scenario(runner):
+        world.engines.stream = lambda _: MemoryStream([*events(1, 9), 5.0], 1)
+        await world.log.add_submission(
+            submission("batch", item("a")), soon(world)
+        )
+        checkpoints = runner._checkpoints
+        writing = asyncio.create_task(checkpoints.run())
+        await until(checkpoints._records)
+        await checkpoints.write_last(1.0)
+        await runner.stop()
+        await asyncio.sleep(CHECKPOINT_S * 1.2)
+        left = await checkpoints.load()
+        assert len(left["a"].events) == 9
+        assert writing.done()
+
+    run(world, scenario)
+
+
 def test_batch_that_was_removed_meanwhile_is_forgotten(world):
     async def scenario(runner):
         world.batches.unread.add("gone")
--- a/libs/peers/src/shallotstand/peers/mesh.py
+++ b/libs/peers/src/shallotstand/peers/mesh.py
@@ -117,15 +117,21 @@
             link.send_encoded(encoded)
 
     def link_to_runner(self, batch_id: str) -> Link | None:
-        """Returns a link to a working peer that runs a batch."""
-        return next(
-            (
-                self._links_by_process[presence.process_id]
-                for presence in self._working()
-                if batch_id in presence.batches
-                and presence.process_id in self._links_by_process
-            ),
-            None,
+        """Returns a link to a peer that runs or ran a batch.
+
+        A working one is preferred; one that stops or has lost the store still
+        knows what it has listed.
+        """
+        runners = [
+            state.presence
+            for state in self._states_by_node.values()
+            if state.presence is not None
+            and batch_id in state.presence.batches
+            and state.presence.process_id in self._links_by_process
+        ]
+        runners.sort(key=lambda presence: not presence.reaches_store)
+        return (
+            self._links_by_process[runners[0].process_id] if runners else None
         )
 
     @property
@@ -145,6 +151,13 @@
         """Says whether a working peer runs a batch."""
         return any(batch_id in presence.batches for presence in self._working())
 
+    def was_claimed(self, batch_id: str) -> bool:
+        """Says whether a peer, working or not, told that it runs a batch."""
+        return any(
+            state.presence is not None and batch_id in state.presence.batches
+            for state in self._states_by_node.values()
+        )
+
     def first_for(self, name: str) -> str:
         """Returns the working process that comes first for some work.
 
