Pass reads of a batch on to the gateway that runs it

Packing them cost the small gateways so much that their peers took them for gone from 16 s on and took their batches over (8 takeovers without a failure). Now the question carries the account, position and time to wait, and only the page or body that the caller wants comes back; a whole batch is passed on only to a process that takes it over.

--- a/apps/gateway/src/shallotstand/gateway/batching.py
+++ b/apps/gateway/src/shallotstand/gateway/batching.py
@@ -1,21 +1,19 @@
 """What accepts, runs and keeps batches in a gateway."""
 
 from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from shallotstand.adapter.boot import BootSettings
 from shallotstand.batches.book import BatchBook
 from shallotstand.batches.checkpoints import Checkpoints
 from shallotstand.batches.item_run import Tools
 from shallotstand.batches.log import BatchLog
-from shallotstand.batches.records import LOG_KIND
+from shallotstand.batches.peer_reads import Question
 from shallotstand.batches.retention import Retention
 from shallotstand.batches.runner import BatchRunner
 from shallotstand.batches.service import BatchService
 from shallotstand.core.clock import Clock
-from shallotstand.core.failure import Failure
 from shallotstand.dispatch.slots import SlotPool
-from shallotstand.documents.protocols import Document
 from shallotstand.gateway.ownership import MeshOwnership
 from shallotstand.gateway.serving import Serving
 from shallotstand.link.gateway_messages import Presence, StoreChanges
@@ -96,7 +94,7 @@
             log,
             clock,
             self._runs_here,
-            PeerBatchReads(self._mesh, LOG_KIND, self._answer_peer),
+            PeerBatchReads(self._mesh, self._answer_peer),
         )
         self._runner = BatchRunner(
             tools,
@@ -132,12 +130,8 @@
     def _runs_here(self, batch_id: str) -> bool:
         return self._runner.runs(batch_id)
 
-    async def _answer_peer(
-        self, batch_id: str, knows_submission: bool, entries: int, wait_s: float
-    ) -> tuple[Document, ...] | Failure:
-        return await self.service.entries_for_peer(
-            batch_id, knows_submission, entries, wait_s
-        )
+    async def _answer_peer(self, batch_id: str, question: Question) -> Any:
+        return await self.service.answer_peer(batch_id, question)
 
     async def stop(self) -> None:
         """Leaves the batches to other processes."""
--- /dev/null
+++ b/libs/batches/src/shallotstand/batches/peer_reads.py
@@ -0,0 +1,153 @@
+"""Reads of batches that another process runs."""
+
+import base64
+import itertools
+from typing import Any, NamedTuple, Protocol, TypedDict
+
+from shallotstand.batches.book import Batch, BatchBook
+from shallotstand.batches.records import (
+    LOG_KIND,
+    SUBMISSION_SUFFIX,
+    Result,
+    ResultGroup,
+    entry_name,
+    results_from_spec,
+    results_to_spec,
+    submission_to_spec,
+)
+from shallotstand.core.failure import Failure
+from shallotstand.documents.protocols import Document
+
+
+class Page(NamedTuple):
+    """Results from some position on.
+
+    Attributes:
+      total: Items of the batch.
+      results: Results in the order of their positions.
+      next_position: Position behind the last of them.
+    """
+
+    total: int
+    results: tuple[Result, ...]
+    next_position: int
+
+
+class Question(TypedDict):
+    """What one process asks another about a batch.
+
+    `account` is the caller's client account. `item` names the item whose body
+    is wanted; if it is empty, results from `position` on are wanted, after up
+    to `wait_s` seconds. If `wants_all` is true, all entries are wanted, for a
+    process that takes the batch over.
+    """
+
+    account: str
+    item: str
+    position: int
+    wait_s: float
+    wants_all: bool
+
+
+class BatchPeers(Protocol):
+    """The other processes that run batches."""
+
+    async def ask(
+        self, batch_id: str, question: Question, wait_s: float
+    ) -> Any | Failure:
+        """Asks the process that runs a batch.
+
+        Errors:
+          LINK_LOST: No peer runs it, or that peer does not answer.
+          Others: The peer's own failure.
+        """
+        ...
+
+
+class PeerReads:
+    """Asks the process that runs a batch, in place of the store."""
+
+    def __init__(self, book: BatchBook, peers: BatchPeers):
+        self._book = book
+        self._peers = peers
+
+    async def page(
+        self, account: str, batch_id: str, position: int, wait_s: float
+    ) -> Page | Failure:
+        """Returns results; errors as for `BatchPeers.ask`."""
+        answer = await self._peers.ask(
+            batch_id,
+            Question(
+                account=account,
+                item="",
+                position=position,
+                wait_s=wait_s,
+                wants_all=False,
+            ),
+            wait_s,
+        )
+        if isinstance(answer, Failure):
+            return answer
+        results = results_from_spec(answer["results"]).results
+        return Page(answer["total"], results, position + len(results))
+
+    async def body(
+        self, account: str, batch_id: str, item_id: str
+    ) -> bytes | Failure:
+        """Returns the body of an item; errors as for `BatchPeers.ask`."""
+        answer = await self._peers.ask(
+            batch_id,
+            Question(
+                account=account,
+                item=item_id,
+                position=0,
+                wait_s=0.0,
+                wants_all=False,
+            ),
+            0.0,
+        )
+        if isinstance(answer, Failure):
+            return answer
+        return base64.b64decode(answer["body"])
+
+    async def load(self, batch_id: str) -> Batch | None:
+        """Takes all entries of a batch; None if no peer has them."""
+        answer = await self._peers.ask(
+            batch_id,
+            Question(
+                account="", item="", position=0, wait_s=0.0, wants_all=True
+            ),
+            0.0,
+        )
+        if not isinstance(answer, Failure):
+            for name, spec in answer["entries"]:
+                self._book.apply(Document(LOG_KIND, name, 0, spec))
+        return self._book.by_id.get(batch_id)
+
+
+def page_answer(position: int, page: Page) -> dict[str, Any]:
+    """Returns the answer with a page of results."""
+    return {
+        "total": page.total,
+        "results": results_to_spec(ResultGroup(position, page.results)),
+    }
+
+
+def body_answer(body: bytes) -> dict[str, Any]:
+    """Returns the answer with the body of an item."""
+    return {"body": base64.b64encode(body).decode("ascii")}
+
+
+def entries_answer(batch: Batch) -> dict[str, Any]:
+    """Returns the answer with all entries of a batch."""
+    submission = (SUBMISSION_SUFFIX, submission_to_spec(batch.submission))
+    results = (
+        (str(number), results_to_spec(group))
+        for number, group in enumerate(batch.groups, 1)
+    )
+    return {
+        "entries": [
+            (entry_name(batch.id, suffix), spec)
+            for suffix, spec in itertools.chain((submission,), results)
+        ]
+    }
--- a/libs/batches/src/shallotstand/batches/service.py
+++ b/libs/batches/src/shallotstand/batches/service.py
@@ -1,26 +1,25 @@
 """What callers do with batches: submit, read and end them."""
 
-import itertools
 from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import Any
 
 from absl import logging
 from shallotstand.batches.book import Batch, BatchBook
 from shallotstand.batches.log import BatchLog
-from shallotstand.batches.records import (
-    LOG_KIND,
-    SUBMISSION_SUFFIX,
-    Result,
-    Submission,
-    entry_name,
-    results_to_spec,
-    submission_to_spec,
+from shallotstand.batches.peer_reads import (
+    BatchPeers,
+    Page,
+    PeerReads,
+    Question,
+    body_answer,
+    entries_answer,
+    page_answer,
 )
+from shallotstand.batches.records import Result, Submission
 from shallotstand.core import logs
 from shallotstand.core.clock import Clock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
-from shallotstand.documents.protocols import Document
 
 # A page of results is at most this large; the rest follows with the next read.
 MAX_PAGE_BYTES = 900_000
@@ -33,44 +32,6 @@
 UNTOLD_WAIT_S = 0.5
 
 
-class Page(NamedTuple):
-    """Results from some position on.
-
-    Attributes:
-      total: Items of the batch.
-      results: Results in the order of their positions.
-      next_position: Position behind the last of them.
-    """
-
-    total: int
-    results: tuple[Result, ...]
-    next_position: int
-
-
-class BatchPeers(Protocol):
-    """The other processes that run batches."""
-
-    async def fetch(
-        self, batch_id: str, knows_submission: bool, entries: int, wait_s: float
-    ) -> tuple[Document, ...] | Failure:
-        """Asks the peer that runs a batch for what is lacking of it.
-
-        Args:
-          batch_id: The batch.
-          knows_submission: Whether the submission is known here.
-          entries: Entries of results that are known here.
-          wait_s: Seconds to wait for another one.
-
-        Returns:
-          The entries that follow, and the submission if it was lacking.
-
-        Errors:
-          LINK_LOST: No peer runs it, or that peer does not answer.
-          STORE_UNAVAILABLE: The peer can't tell.
-        """
-        ...
-
-
 class BatchService:
     """Callers' calls on batches, at any process."""
 
@@ -95,7 +56,7 @@
         self._log = log
         self._clock = clock
         self._runs_here = runs_here
-        self._peers = peers
+        self._peer_reads = None if peers is None else PeerReads(book, peers)
 
     async def submit(
         self, submission: Submission, deadline: float
@@ -144,33 +105,42 @@
           BATCH_UNKNOWN: The account has no such batch.
           STORE_UNAVAILABLE: It can't be told now.
         """
+        if self._is_read_elsewhere(batch_id):
+            page = await self._peer_reads.page(
+                account, batch_id, position, wait_s
+            )
+            if not isinstance(page, Failure):
+                return page
+            # Nobody tells this process of new results.
+            wait_s = min(wait_s, UNTOLD_WAIT_S)
         batch = await self._find(account, batch_id)
         if isinstance(batch, Failure):
             return batch
-        if position >= len(batch.results) and not batch.is_complete:
-            failure = await self._await_results(batch, wait_s)
-            if failure is not None:
-                return failure
-        results = _page(batch.results[position:])
-        return Page(len(batch.items_by_id), results, position + len(results))
+        return await self._page(batch, position, wait_s)
 
-    async def entries_for_peer(
-        self, batch_id: str, knows_submission: bool, entries: int, wait_s: float
-    ) -> tuple[Document, ...] | Failure:
-        """Answers a peer's question; the arguments are those of `fetch`.
+    async def answer_peer(self, batch_id: str, question: Question) -> Any:
+        """Answers another process's question about a batch known here.
 
         Errors:
           BATCH_UNKNOWN: The batch is not known here.
-          STORE_UNAVAILABLE: It can't be told now.
+          Others: As for the caller's call.
         """
         batch = self._book.by_id.get(batch_id)
         if batch is None:
             return Failure(ResultCode.BATCH_UNKNOWN, "Not known here.")
-        if knows_submission and entries >= batch.entries:
-            failure = await self._await_local_results(batch, wait_s)
-            if failure is not None:
-                return failure
-        return _documents(batch, knows_submission, entries)
+        if question["wants_all"]:
+            return entries_answer(batch)
+        failure = _check_account(batch, question["account"])
+        if failure is not None:
+            return failure
+        if question["item"]:
+            body = _body(batch, question["item"])
+            return body if isinstance(body, Failure) else body_answer(body)
+        position = question["position"]
+        page = await self._page(batch, position, question["wait_s"])
+        return (
+            page if isinstance(page, Failure) else page_answer(position, page)
+        )
 
     async def load(self, batch_id: str) -> Batch | Failure:
         """Returns a batch; asks a peer or the store if it is not known here.
@@ -180,9 +150,8 @@
           STORE_UNAVAILABLE: It can't be told now.
         """
         batch = self._book.by_id.get(batch_id)
-        if batch is None and self._peers is not None:
-            found = await self._peers.fetch(batch_id, False, 0, 0.0)
-            batch = self._apply(batch_id, found)
+        if batch is None and self._peer_reads is not None:
+            batch = await self._peer_reads.load(batch_id)
         return batch or await self._log.read(batch_id)
 
     async def body(
@@ -194,13 +163,12 @@
           BATCH_UNKNOWN, STORE_UNAVAILABLE: As for `read`.
           ITEM_UNKNOWN: There is no such item, or it is listed.
         """
+        if self._is_read_elsewhere(batch_id):
+            body = await self._peer_reads.body(account, batch_id, item_id)
+            if not isinstance(body, Failure):
+                return body
         batch = await self._find(account, batch_id)
-        if isinstance(batch, Failure):
-            return batch
-        item = batch.items_by_id.get(item_id)
-        if item is None:
-            return Failure(ResultCode.ITEM_UNKNOWN, "No such item.")
-        return item.body
+        return batch if isinstance(batch, Failure) else _body(batch, item_id)
 
     async def end(
         self, account: str, batch_id: str, deadline: float
@@ -226,27 +194,32 @@
         return failure
 
     async def _find(self, account: str, batch_id: str) -> Batch | Failure:
-        batch = await self.load(batch_id)
+        batch = self._book.by_id.get(batch_id)
+        if batch is None:
+            batch = await self._log.read(batch_id)
         if isinstance(batch, Failure):
             return batch
         return _check_account(batch, account) or batch
 
-    async def _await_results(
-        self, batch: Batch, wait_s: float
-    ) -> Failure | None:
-        """Waits for results, and makes sure if there are none."""
-        if self._runs_here(batch.id) or self._peers is None:
-            return await self._await_local_results(batch, wait_s)
-        before = batch.entries
-        found = await self._peers.fetch(batch.id, True, before, wait_s)
-        if not isinstance(found, Failure):
-            self._apply(batch.id, found)
-            return None
-        if found.code == ResultCode.LINK_LOST:
-            wait_s = min(wait_s, UNTOLD_WAIT_S)
-        return await self._await_local_results(batch, wait_s)
+    async def _page(
+        self, batch: Batch, position: int, wait_s: float
+    ) -> Page | Failure:
+        """Returns results; makes sure if there are none."""
+        if position >= len(batch.results) and not batch.is_complete:
+            failure = await self._await_results(batch, wait_s)
+            if failure is not None:
+                return failure
+        results = _fitting(batch.results[position:])
+        return Page(len(batch.items_by_id), results, position + len(results))
+
+    def _is_read_elsewhere(self, batch_id: str) -> bool:
+        """Says whether the process that runs a batch is to be asked."""
+        if self._peer_reads is None or self._runs_here(batch_id):
+            return False
+        batch = self._book.by_id.get(batch_id)
+        return batch is None or not batch.is_complete
 
-    async def _await_local_results(
+    async def _await_results(
         self, batch: Batch, wait_s: float
     ) -> Failure | None:
         before = batch.entries
@@ -257,32 +230,12 @@
             return None
         return await self._log.catch_up(batch)
 
-    def _apply(
-        self, batch_id: str, found: tuple[Document, ...] | Failure
-    ) -> Batch | None:
-        if not isinstance(found, Failure):
-            for document in found:
-                self._book.apply(document)
-        return self._book.by_id.get(batch_id)
-
-
-def _documents(
-    batch: Batch, knows_submission: bool, entries: int
-) -> tuple[Document, ...]:
-    """Returns the entries of a batch that a peer lacks."""
-    submission = (
-        ()
-        if knows_submission
-        else ((SUBMISSION_SUFFIX, submission_to_spec(batch.submission)),)
-    )
-    results = (
-        (str(number), results_to_spec(group))
-        for number, group in enumerate(batch.groups[entries:], entries + 1)
-    )
-    return tuple(
-        Document(LOG_KIND, entry_name(batch.id, suffix), 0, spec)
-        for suffix, spec in itertools.chain(submission, results)
-    )
+
+def _body(batch: Batch, item_id: str) -> bytes | Failure:
+    item = batch.items_by_id.get(item_id)
+    if item is None:
+        return Failure(ResultCode.ITEM_UNKNOWN, "No such item.")
+    return item.body
 
 
 def _check_account(batch: Batch, account: str) -> Failure | None:
@@ -291,7 +244,7 @@
     return Failure(ResultCode.BATCH_UNKNOWN, "The account has no such batch.")
 
 
-def _page(results: list[Result]) -> tuple[Result, ...]:
+def _fitting(results: list[Result]) -> tuple[Result, ...]:
     size = 0
     page = []
     for result in results:
--- a/libs/batches/tests/test_peer_reads.py
+++ b/libs/batches/tests/test_peer_reads.py
@@ -24,13 +24,11 @@
         self.service = None
         self.asked = 0
 
-    async def fetch(self, batch_id, knows_submission, entries, wait_s):
+    async def ask(self, batch_id, question, wait_s):
         self.asked += 1
         if self.service is None:
             return Failure(ResultCode.LINK_LOST, "no peer")
-        return await self.service.entries_for_peer(
-            batch_id, knows_submission, entries, wait_s
-        )
+        return await self.service.answer_peer(batch_id, question)
 
 
 class World:
@@ -130,14 +128,38 @@
         assert world.book.unread == {"batch"}
         assert world.book.by_id == {}
         assert await world.read() == []
+        world.peers.service = None
+        assert await world.read() == []
         assert world.book.unread == set()
 
     run(scenario)
 
 
+def test_batch_is_taken_over_whole_from_a_peer_without_a_call():
+    async def scenario(world, batch):
+        await world.runner_log.append(batch, [result("a")])
+        world.store.calls.clear()
+        loaded = await world.service.load("batch")
+        assert loaded.submission == batch.submission
+        assert [listed.id for listed in loaded.results] == ["a"]
+        assert sum(world.store.calls.values()) == 0
+
+    run(scenario)
+
+
+def test_peer_tells_an_account_nothing_of_another_ones_batch():
+    async def scenario(world, batch):
+        found = await world.service.read("other", "batch", 0, 0.0)
+        assert found.code == ResultCode.BATCH_UNKNOWN
+        found = await world.service.body("other", "batch", "a")
+        assert found.code == ResultCode.BATCH_UNKNOWN
+
+    run(scenario)
+
+
 def test_name_of_an_end_ends_a_batch():
     async def scenario(world, batch):
-        await world.read()
+        await world.service.load("batch")
         await world.runner_log.add_end(batch, CLOCK.monotonic() + 1)
         for document in (await world.store.list(LOG_KIND)).documents:
             world.book.take(Change(document._replace(spec=None), False))
--- a/libs/link/src/shallotstand/link/gateway_messages.py
+++ b/libs/link/src/shallotstand/link/gateway_messages.py
@@ -67,21 +67,17 @@
 
 
 class BatchAsk(NamedTuple):
-    """Asks the process that runs a batch for what the sender lacks of it.
+    """A question about a batch to the process that runs it.
 
     Attributes:
-      number: Number of the question on this connection.
+      number: Number of the question, unique in its process.
       batch: Identifier of the batch.
-      knows_submission: Whether the sender has the submission.
-      entries: Entries of results that the sender has.
-      wait_ms: Milliseconds to wait for another one.
+      content: The question as JSON, compressed by zlib.
     """
 
     number: int
     batch: str
-    knows_submission: bool
-    entries: int
-    wait_ms: int
+    content: bytes
 
 
 class BatchAnswer(NamedTuple):
@@ -89,10 +85,10 @@
 
     Attributes:
       number: Number of the question.
-      is_sure: Whether nothing else was listed when it was answered.
-      entries: Entries of the batch that the sender of the question lacked.
+      code: Result code; 0 if there is an answer.
+      content: The answer as JSON, compressed by zlib.
     """
 
     number: int
-    is_sure: bool
-    entries: tuple[StoredObject, ...]
+    code: int
+    content: bytes
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -268,15 +268,13 @@
 struct BatchAsk {
   number @0 :UInt64;
   batch @1 :Text;
-  knowsSubmission @2 :Bool;
-  entries @3 :UInt32;
-  waitMs @4 :UInt32;
+  content @2 :Data;
 }
 
 struct BatchAnswer {
   number @0 :UInt64;
-  isSure @1 :Bool;
-  entries @2 :List(StoredObject);
+  code @1 :UInt16;
+  content @2 :Data;
 }
 
 struct Envelope {
--- a/libs/peers/src/shallotstand/peers/batch_reads.py
+++ b/libs/peers/src/shallotstand/peers/batch_reads.py
@@ -1,41 +1,36 @@
-"""Reads of batches at the process that runs them."""
+"""Questions about batches to the processes that run them."""
 
 import asyncio
 import itertools
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
-from shallotstand.documents.protocols import Change, Document
 from shallotstand.link.gateway_messages import BatchAnswer, BatchAsk
 from shallotstand.link.link import Link
+from shallotstand.peers.content import pack, unpack
 from shallotstand.peers.mesh import PeerMesh
-from shallotstand.peers.stored_objects import to_change, to_message
 
 # Time for the way and for the other process's event loop; then the store is
 # asked instead.
 ANSWER_RESERVE_S = 0.4
 
-# Takes a batch's identifier, whether its submission is known, the entries
-# known and the seconds to wait; returns the entries that are lacking.
-Source = Callable[
-    [str, bool, int, float], Awaitable[tuple[Document, ...] | Failure]
-]
+# Takes a batch's identifier and a question; returns the answer.
+Source = Callable[[str, Any], Awaitable[Any]]
 
 
 class PeerBatchReads:
-    """Asks peers for the batches that they run, and answers them."""
+    """Asks peers about the batches that they run, and answers them."""
 
-    def __init__(self, mesh: PeerMesh, kind: str, source: Source):
+    def __init__(self, mesh: PeerMesh, source: Source):
         """Makes the reads of a process.
 
         Args:
           mesh: Connections to the peers.
-          kind: Kind that entries are decoded as.
           source: What this process answers from.
         """
         self._mesh = mesh
-        self._kind = kind
         self._source = source
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[BatchAnswer]] = {}
@@ -43,9 +38,9 @@
         mesh.handle(BatchAsk, self._take_ask)
         mesh.handle(BatchAnswer, self._take_answer)
 
-    async def fetch(
-        self, batch_id: str, knows_submission: bool, entries: int, wait_s: float
-    ) -> tuple[Document, ...] | Failure:
+    async def ask(
+        self, batch_id: str, question: Any, wait_s: float
+    ) -> Any | Failure:
         """Asks the peer that runs a batch; errors as for its protocol."""
         link = self._mesh.link_to_runner(batch_id)
         if link is None:
@@ -53,11 +48,7 @@
         number = next(self._numbers)
         answer = asyncio.get_running_loop().create_future()
         self._waiting[number] = answer
-        link.send(
-            BatchAsk(
-                number, batch_id, knows_submission, entries, int(wait_s * 1000)
-            )
-        )
+        link.send(BatchAsk(number, batch_id, pack(question)))
         try:
             async with asyncio.timeout(wait_s + ANSWER_RESERVE_S):
                 told = await answer
@@ -65,11 +56,9 @@
             return Failure(ResultCode.LINK_LOST, "The peer did not answer.")
         finally:
             del self._waiting[number]
-        if not told.is_sure:
-            return Failure(ResultCode.STORE_UNAVAILABLE, "The peer can't tell.")
-        return tuple(
-            to_change(self._kind, item).document for item in told.entries
-        )
+        if told.code:
+            return Failure(ResultCode(told.code), "The peer can't tell.")
+        return unpack(told.content)
 
     def _take_answer(self, answer: BatchAnswer, link: Link) -> None:
         del link
@@ -83,18 +72,8 @@
         task.add_done_callback(self._answering.discard)
 
     async def _answer(self, ask: BatchAsk, link: Link) -> None:
-        found = await self._source(
-            ask.batch, ask.knows_submission, ask.entries, ask.wait_ms / 1000
-        )
-        is_sure = not isinstance(found, Failure)
-        documents = found if is_sure else ()
-        link.send(
-            BatchAnswer(
-                ask.number,
-                is_sure,
-                tuple(
-                    to_message(Change(document, False))
-                    for document in documents
-                ),
-            )
-        )
+        found = await self._source(ask.batch, unpack(ask.content))
+        if isinstance(found, Failure):
+            link.send(BatchAnswer(ask.number, int(found.code), b""))
+        else:
+            link.send(BatchAnswer(ask.number, 0, pack(found)))
--- a/libs/peers/tests/test_batch_reads.py
+++ b/libs/peers/tests/test_batch_reads.py
@@ -4,24 +4,21 @@
 
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
-from shallotstand.documents.protocols import Document
 from shallotstand.peers.batch_reads import PeerBatchReads
 
 from .test_mesh import connected, run, until
 
-KIND = "kind"
-
 
 class Source:
     """What a process answers from."""
 
     def __init__(self):
         self.asked = []
-        self.answer = (Document(KIND, "batch.1", 0, {"first": 0}),)
+        self.answer = {"total": 2}
         self.delay_s = 0.0
 
-    async def __call__(self, *question):
-        self.asked.append(question)
+    async def __call__(self, batch_id, question):
+        self.asked.append((batch_id, question))
         await asyncio.sleep(self.delay_s)
         return self.answer
 
@@ -29,9 +26,9 @@
 def scenario_of(check):
     async def scenario(runner, reader):
         source = Source()
-        PeerBatchReads(runner.mesh, KIND, source)
+        PeerBatchReads(runner.mesh, source)
         runner.batches = ("batch",)
-        reads = PeerBatchReads(reader.mesh, KIND, Source())
+        reads = PeerBatchReads(reader.mesh, Source())
         await until(lambda: connected([runner, reader]))
         await until(lambda: reader.mesh.is_run("batch"))
         await check(reads, source, runner)
@@ -41,16 +38,16 @@
 
 def test_process_that_runs_a_batch_answers():
     async def check(reads, source, runner):
-        found = await reads.fetch("batch", True, 3, 0.2)
+        found = await reads.ask("batch", {"position": 3}, 0.2)
         assert found == source.answer
-        assert source.asked == [("batch", True, 3, 0.2)]
+        assert source.asked == [("batch", {"position": 3})]
 
     scenario_of(check)
 
 
 def test_batch_that_no_peer_runs_is_not_asked_for():
     async def check(reads, source, runner):
-        found = await reads.fetch("other", True, 0, 0.2)
+        found = await reads.ask("other", {}, 0.2)
         assert found.code == ResultCode.LINK_LOST
         assert source.asked == []
 
@@ -60,7 +57,7 @@
 def test_peer_that_can_not_tell_says_so():
     async def check(reads, source, runner):
         source.answer = Failure(ResultCode.STORE_UNAVAILABLE, "down")
-        found = await reads.fetch("batch", True, 0, 0.2)
+        found = await reads.ask("batch", {}, 0.2)
         assert found.code == ResultCode.STORE_UNAVAILABLE
 
     scenario_of(check)
@@ -70,7 +67,7 @@
     async def check(reads, source, runner):
         source.delay_s = 5.0
         started = asyncio.get_running_loop().time()
-        found = await reads.fetch("batch", True, 0, 0.1)
+        found = await reads.ask("batch", {}, 0.1)
         assert found.code == ResultCode.LINK_LOST
         assert asyncio.get_running_loop().time() - started < 1.0
 
