--- a/libs/batches/src/shallotstand/batches/peer_reads.py
+++ b/libs/batches/src/shallotstand/batches/peer_reads.py
@@ -1,6 +1,7 @@
 """Reads of batches that another process runs."""
 
 import base64
+import enum
 import itertools
 from typing import Any, NamedTuple, Protocol, TypedDict
 
@@ -33,20 +34,33 @@
     next_position: int
 
 
+class Action(enum.StrEnum):
+    """What one process wants of another that runs a batch.
+
+    PAGE asks for results, BODY for an item's body, CHECK whether the batch is
+    the account's, END to end it, ENTRIES for all of it, to take it over.
+    """
+
+    PAGE = "page"
+    BODY = "body"
+    CHECK = "check"
+    END = "end"
+    ENTRIES = "entries"
+
+
 class Question(TypedDict):
     """What one process asks another about a batch.
 
-    `account` is the caller's client account. `item` names the item whose body
-    is wanted; if it is empty, results from `position` on are wanted, after up
-    to `wait_s` seconds. If `wants_all` is true, all entries are wanted, for a
-    process that takes the batch over.
+    `account` is the caller's client account and `wait_s` the time that the
+    answer may take. `position` is the first one of a page and `item` the item
+    whose body is wanted; they are 0 and empty otherwise.
     """
 
+    action: Action
     account: str
     item: str
     position: int
     wait_s: float
-    wants_all: bool
 
 
 class BatchPeers(Protocol):
@@ -75,16 +89,8 @@
         self, account: str, batch_id: str, position: int, wait_s: float
     ) -> Page | Failure:
         """Returns results; errors as for `BatchPeers.ask`."""
-        answer = await self._peers.ask(
-            batch_id,
-            Question(
-                account=account,
-                item="",
-                position=position,
-                wait_s=wait_s,
-                wants_all=False,
-            ),
-            wait_s,
+        answer = await self._ask(
+            batch_id, Action.PAGE, account, wait_s, position=position
         )
         if isinstance(answer, Failure):
             return answer
@@ -95,35 +101,52 @@
         self, account: str, batch_id: str, item_id: str
     ) -> bytes | Failure:
         """Returns the body of an item; errors as for `BatchPeers.ask`."""
-        answer = await self._peers.ask(
-            batch_id,
-            Question(
-                account=account,
-                item=item_id,
-                position=0,
-                wait_s=0.0,
-                wants_all=False,
-            ),
-            0.0,
-        )
+        answer = await self._ask(batch_id, Action.BODY, account, item=item_id)
         if isinstance(answer, Failure):
             return answer
         return base64.b64decode(answer["body"])
 
+    async def check(self, account: str, batch_id: str) -> Failure | None:
+        """Says whether a peer runs the account's batch of this name."""
+        answer = await self._ask(batch_id, Action.CHECK, account)
+        return answer if isinstance(answer, Failure) else None
+
+    async def end(
+        self, account: str, batch_id: str, timeout_s: float
+    ) -> Failure | None:
+        """Has the peer that runs a batch end it."""
+        answer = await self._ask(batch_id, Action.END, account, timeout_s)
+        return answer if isinstance(answer, Failure) else None
+
     async def load(self, batch_id: str) -> Batch | None:
         """Takes all entries of a batch; None if no peer has them."""
-        answer = await self._peers.ask(
-            batch_id,
-            Question(
-                account="", item="", position=0, wait_s=0.0, wants_all=True
-            ),
-            0.0,
-        )
+        answer = await self._ask(batch_id, Action.ENTRIES, "")
         if not isinstance(answer, Failure):
             for name, spec in answer["entries"]:
                 self._book.apply(Document(LOG_KIND, name, 0, spec))
         return self._book.by_id.get(batch_id)
 
+    async def _ask(
+        self,
+        batch_id: str,
+        action: Action,
+        account: str,
+        wait_s: float = 0.0,
+        item: str = "",
+        position: int = 0,
+    ) -> Any | Failure:
+        return await self._peers.ask(
+            batch_id,
+            Question(
+                action=action,
+                account=account,
+                item=item,
+                position=position,
+                wait_s=wait_s,
+            ),
+            wait_s,
+        )
+
 
 def page_answer(position: int, page: Page) -> dict[str, Any]:
     """Returns the answer with a page of results."""
--- a/libs/batches/src/shallotstand/batches/service.py
+++ b/libs/batches/src/shallotstand/batches/service.py
@@ -7,6 +7,7 @@
 from shallotstand.batches.book import Batch, BatchBook
 from shallotstand.batches.log import BatchLog
 from shallotstand.batches.peer_reads import (
+    Action,
     BatchPeers,
     Page,
     PeerReads,
@@ -30,6 +31,8 @@
 # A batch that no peer runs is read from the store after this; nobody tells of
 # its results.
 UNTOLD_WAIT_S = 0.5
+# A peer that has not ended a batch by then leaves time to do so here.
+PEER_END_S = 1.0
 
 
 class BatchService:
@@ -74,6 +77,8 @@
           NOT_ALLOWED: The identifier belongs to another account's batch.
         """
         known = self._book.by_id.get(submission.id)
+        if known is None and await self._is_repeated(submission):
+            return None
         if known is None:
             known = await self._log.add_submission(submission, deadline)
         failed = isinstance(known, Failure)
@@ -128,12 +133,18 @@
         batch = self._book.by_id.get(batch_id)
         if batch is None:
             return Failure(ResultCode.BATCH_UNKNOWN, "Not known here.")
-        if question["wants_all"]:
+        if question["action"] == Action.ENTRIES:
             return entries_answer(batch)
         failure = _check_account(batch, question["account"])
+        if failure is None and question["action"] == Action.END:
+            failure = await self._end(
+                batch, self._clock.monotonic() + question["wait_s"]
+            )
         if failure is not None:
             return failure
-        if question["item"]:
+        if question["action"] in (Action.CHECK, Action.END):
+            return {}
+        if question["action"] == Action.BODY:
             body = _body(batch, question["item"])
             return body if isinstance(body, Failure) else body_answer(body)
         position = question["position"]
@@ -179,14 +190,24 @@
           BATCH_UNKNOWN, STORE_UNAVAILABLE: As for `read`.
           OUTCOME_UNKNOWN: The end may have been noted.
         """
+        if self._is_read_elsewhere(batch_id):
+            left_s = max(0.0, deadline - self._clock.monotonic())
+            failure = await self._peer_reads.end(
+                account, batch_id, min(PEER_END_S, left_s)
+            )
+            if failure is None:
+                return None
         batch = await self._find(account, batch_id)
         if isinstance(batch, Failure):
             return batch
+        return await self._end(batch, deadline)
+
+    async def _end(self, batch: Batch, deadline: float) -> Failure | None:
         failure = await self._log.add_end(batch, deadline)
         logs.event(
             logging.INFO,
             "Batch ended" if failure is None else "Batch not ended",
-            batch=batch_id,
+            batch=batch.id,
             listed=len(batch.listed),
             items=len(batch.items_by_id),
             reason=failure.reason if failure else "",
@@ -201,6 +222,15 @@
             return batch
         return _check_account(batch, account) or batch
 
+    async def _is_repeated(self, submission: Submission) -> bool:
+        """Says whether a peer runs the batch already."""
+        if not self._is_read_elsewhere(submission.id):
+            return False
+        failure = await self._peer_reads.check(
+            submission.account, submission.id
+        )
+        return failure is None
+
     async def _page(
         self, batch: Batch, position: int, wait_s: float
     ) -> Page | Failure:
--- a/libs/batches/tests/test_peer_reads.py
+++ b/libs/batches/tests/test_peer_reads.py
@@ -157,6 +157,42 @@
     run(scenario)
 
 
+def test_end_reaches_the_process_that_runs_the_batch():
+    async def scenario(world, batch):
+        deadline = CLOCK.monotonic() + 1
+        assert await world.service.end("account", "batch", deadline) is None
+        assert batch.is_ended
+        world.store.calls.clear()
+        assert await world.service.end("account", "batch", deadline) is None
+        assert sum(world.store.calls.values()) == 0
+
+    run(scenario)
+
+
+def test_end_is_noted_here_if_the_peer_is_gone():
+    async def scenario(world, batch):
+        world.peers.service = None
+        deadline = CLOCK.monotonic() + 1
+        assert await world.service.end("account", "batch", deadline) is None
+        assert world.book.by_id["batch"].is_ended
+
+    run(scenario)
+
+
+def test_repeated_submission_is_answered_without_a_call():
+    async def scenario(world, batch):
+        world.store.calls.clear()
+        again = batch.submission._replace(owner="gateway-2")
+        deadline = CLOCK.monotonic() + 1
+        assert await world.service.submit(again, deadline) is None
+        assert sum(world.store.calls.values()) == 0
+        foreign = again._replace(account="other")
+        failure = await world.service.submit(foreign, deadline)
+        assert failure.code == ResultCode.BATCH_UNKNOWN
+
+    run(scenario)
+
+
 def test_name_of_an_end_ends_a_batch():
     async def scenario(world, batch):
         await world.service.load("batch")
