Share paces between gateways, and prefer endpoints that don't fail

Cause: an endpoint that answers each request with an error at once looked free and quick (its errors counted as fast answers) and drew the requests; each gateway had to find slow engines out for itself; and the load of the peers was joined anew for each comparison of two endpoints, over all peers and engines. Now errors count in a share of failures that halves every 4 s, presences carry the paces of the last second, and what the peers told is joined once for each presence.

--- a/apps/gateway/src/shallotstand/gateway/batching.py
+++ b/apps/gateway/src/shallotstand/gateway/batching.py
@@ -76,7 +76,7 @@
         self._mesh = PeerMesh(identity.address, self.registry, describe, clock)
         store.join(self._mesh)
         self._mesh.handle(StoreChanges, lambda message, _: store.take(message))
-        serving.endpoints.count_peers(self._mesh.running_by_endpoint)
+        serving.endpoints.learn_from_peers(self._mesh.states_by_endpoint)
         self._checkpoints = Checkpoints(store, boot.node)
         pool = SlotPool(serving.endpoints)
         # Slots that a peer no longer fills are free for items that wait here.
--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -1,7 +1,6 @@
 """Puts the gateway process together and runs it until SIGTERM."""
 
 import asyncio
-import itertools
 from collections.abc import Callable
 
 from absl import logging
@@ -191,16 +190,20 @@
         return all(follower.is_synced for follower in self._followers)
 
     def _presence(self) -> Presence:
+        states_by_id = self._serving.endpoints.states_by_id()
         return Presence(
             self._boot.node,
             self._process_id,
             self._is_ready(),
             tuple(
-                itertools.starmap(
-                    EndpointUse, self._serving.endpoints.running_by_id().items()
+                EndpointUse(
+                    endpoint_id, state.running, int((state.pace_s or 0.0) * 1e6)
                 )
+                for endpoint_id, state in states_by_id.items()
             ),
             self._batching.known(),
+            self._boot.zone,
+            int(self._boot.processor_share * 100),
         )
 
     def _follower(
--- a/libs/batches/src/shallotstand/batches/item_run.py
+++ b/libs/batches/src/shallotstand/batches/item_run.py
@@ -260,6 +260,7 @@
     ) -> Result | None:
         """Decides what follows an attempt; returns a result if it is final."""
         if outcome is None:
+            self._tools.book.note_outcome(endpoint, has_failed=False)
             return None
         self._avoided = endpoint.id
         if isinstance(outcome, _Moved):
@@ -268,6 +269,7 @@
             return None
         if isinstance(outcome, _Refused):
             self._errors += 1
+            self._tools.book.note_outcome(endpoint, has_failed=True)
             self._log("Item failed at an engine", endpoint, outcome.status)
             # Engines answer 422 to an item that none of them can do.
             if outcome.status == 422 or self._errors >= route.max_attempts:
@@ -278,6 +280,7 @@
             return None
         if outcome.code != ResultCode.SAMPLE_STALE:
             self._tools.book.note_failure(endpoint, outcome.reason, started)
+            self._tools.book.note_outcome(endpoint, has_failed=True)
         self._log("Item resumes elsewhere", endpoint, outcome.reason)
         return None
 
--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -22,6 +22,15 @@
 LAST_REFUSAL_S = 0.25
 # Weight of the newest measurement in an endpoint's pace.
 PACE_SMOOTHING = 0.3
+# A pace that was measured longer ago tells less than what peers measure now.
+PACE_FRESH_S = 1.0
+# Weight of the newest outcome in an endpoint's share of failed requests, and
+# the time in which that share halves without one.
+FAILURE_SMOOTHING = 0.2
+FAILURE_HALF_LIFE_S = 4.0
+# An endpoint at which every request fails counts as this many times as slow;
+# those that fail fast would otherwise look free and draw all requests.
+FAILURE_WEIGHT = 12.0
 
 
 class Endpoint(NamedTuple):
@@ -48,6 +57,18 @@
     version_by_model: dict[str, int]
 
 
+class EndpointState(NamedTuple):
+    """What one process knows of an endpoint from its own requests.
+
+    Attributes:
+      running: Requests that it runs there.
+      pace_s: Seconds for a unit of work; None if not measured lately.
+    """
+
+    running: int
+    pace_s: float | None = None
+
+
 class _Health:
     """What this process learned of an endpoint from its own requests."""
 
@@ -59,6 +80,9 @@
         self.closed_until = 0.0
         self.succeeded_at = float("-inf")
         self.pace: float | None = None
+        self.paced_at = float("-inf")
+        self.failure_share = 0.0
+        self.judged_at = float("-inf")
         self.version_by_model: dict[str, int] = {}
 
 
@@ -77,19 +101,25 @@
             _Health
         )
         self._lapses_by_id: dict[str, float] = {}
-        self._peers_running: Callable[[], dict[str, int]] = dict
+        self._peer_states: Callable[[], dict[str, EndpointState]] = dict
         self.by_id: dict[str, Endpoint] = {}
 
-    def count_peers(self, running: Callable[[], dict[str, int]]) -> None:
-        """Takes the source of what peers run, by endpoint."""
-        self._peers_running = running
+    def learn_from_peers(
+        self, states: Callable[[], dict[str, EndpointState]]
+    ) -> None:
+        """Takes the source of what peers know, by endpoint."""
+        self._peer_states = states
 
-    def running_by_id(self) -> dict[str, int]:
-        """Returns the requests that this process runs, by endpoint."""
+    def states_by_id(self) -> dict[str, EndpointState]:
+        """Returns what this process knows, by endpoint that it uses."""
+        oldest = self._clock.monotonic() - PACE_FRESH_S
         return {
-            endpoint_id: health.in_flight
+            endpoint_id: EndpointState(
+                health.in_flight,
+                health.pace if health.paced_at >= oldest else None,
+            )
             for endpoint_id, health in self._health_by_id.items()
-            if health.in_flight
+            if health.in_flight or health.paced_at >= oldest
         }
 
     def subscribe(self, listener: Callable[[], None]) -> None:
@@ -180,14 +210,28 @@
 
     def cost(self, endpoint: Endpoint) -> float:
         """Returns an estimate of the wait at an endpoint; less is better."""
-        health = self._health_by_id[endpoint.id]
-        pace = health.pace if health.pace is not None else self._mean_pace()
+        pace = self.pace(endpoint)
+        if pace is None:
+            pace = self._mean_pace()
         nearness = 1.0 if endpoint.zone == self._zone else 1.1
-        return (self._load(endpoint) + 1) / endpoint.slots * pace * nearness
+        failing = 1.0 + FAILURE_WEIGHT * self.failure_share(endpoint.id)
+        load = (self._load(endpoint) + 1) / endpoint.slots
+        return load * pace * nearness * failing
 
     def pace(self, endpoint: Endpoint) -> float | None:
         """Returns the seconds for a unit of work; None if not known."""
-        return self._health_by_id[endpoint.id].pace
+        health = self._health_by_id[endpoint.id]
+        if self._clock.monotonic() - health.paced_at > PACE_FRESH_S:
+            state = self._peer_states().get(endpoint.id)
+            if state is not None and state.pace_s is not None:
+                return state.pace_s
+        return health.pace
+
+    def failure_share(self, endpoint_id: str) -> float:
+        """Returns the share of requests that failed at an endpoint lately."""
+        health = self._health_by_id[endpoint_id]
+        age_s = self._clock.monotonic() - health.judged_at
+        return health.failure_share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
 
     def version(self, endpoint: Endpoint, model: str) -> int:
         """Returns the newest version of a model known at an endpoint."""
@@ -234,6 +278,16 @@
         health.succeeded_at = self._clock.monotonic()
         known = pace if health.pace is None else health.pace
         health.pace = known + PACE_SMOOTHING * (pace - known)
+        health.paced_at = health.succeeded_at
+
+    def note_outcome(self, endpoint: Endpoint, has_failed: bool) -> None:
+        """Notes how a request at an endpoint ended, refusals left out."""
+        health = self._health_by_id[endpoint.id]
+        before = self.failure_share(endpoint.id)
+        health.judged_at = self._clock.monotonic()
+        health.failure_share = before + FAILURE_SMOOTHING * (
+            float(has_failed) - before
+        )
 
     def note_version(self, endpoint: Endpoint, model: str, number: int) -> None:
         """Notes the version of a model that an answer named."""
@@ -298,7 +352,8 @@
 
     def _load(self, endpoint: Endpoint) -> int:
         own = self._health_by_id[endpoint.id].in_flight
-        return own + self._peers_running().get(endpoint.id, 0)
+        state = self._peer_states().get(endpoint.id)
+        return own + (state.running if state else 0)
 
     def _mean_pace(self) -> float:
         paces = [
--- a/libs/dispatch/src/shallotstand/dispatch/plain.py
+++ b/libs/dispatch/src/shallotstand/dispatch/plain.py
@@ -273,13 +273,15 @@
                 return None
             self._note_begun(attempt)
             self._last_failure = outcome
+            self._book.note_outcome(endpoint, has_failed=True)
             self._book.note_failure(endpoint, outcome.reason, attempt.started)
             return None
         self._note_begun(attempt)
         took_s = self._clock.monotonic() - attempt.started
         self._book.note_start(endpoint)
-        self._book.note_success(endpoint, took_s)
+        self._book.note_outcome(endpoint, has_failed=outcome.status >= 500)
         if outcome.status < 500:
+            self._book.note_success(endpoint, took_s)
             return outcome
         self._last_answer = outcome
         self.errors += 1
--- a/libs/dispatch/src/shallotstand/dispatch/streams.py
+++ b/libs/dispatch/src/shallotstand/dispatch/streams.py
@@ -93,6 +93,9 @@
                     break
                 self._next = event.number + 1
                 yield event
+            self._book.note_outcome(
+                self._endpoint, has_failed=failure is not None
+            )
             if failure is None:
                 self.close()
                 return
@@ -143,6 +146,7 @@
                 self._book.note_refusal(endpoint)
             else:
                 self._book.note_failure(endpoint, outcome.reason, now)
+                self._book.note_outcome(endpoint, has_failed=True)
             return outcome
         if self.first_begun is None:
             self.first_begun = now
--- a/libs/dispatch/tests/test_endpoints.py
+++ b/libs/dispatch/tests/test_endpoints.py
@@ -3,11 +3,14 @@
 import pytest
 from shallotstand.core.clock import ManualClock
 from shallotstand.dispatch.endpoints import (
+    FAILURE_HALF_LIFE_S,
     FIRST_PENALTY_S,
     FIRST_REFUSAL_S,
     LAPSE_GRACE_S,
     LAST_REFUSAL_S,
+    PACE_FRESH_S,
     EndpointBook,
+    EndpointState,
 )
 from shallotstand.standins.memory_engines import endpoint
 
@@ -106,10 +109,47 @@
     a, b = book.by_id["a"], book.by_id["b"]
     book.begin(a)
     assert book.candidates("engines")[0].id == "b"
-    book.count_peers(lambda: {"b": 3})
+    book.learn_from_peers(lambda: {"b": EndpointState(3)})
     assert book.candidates("engines")[0].id == "a"
-    book.count_peers(dict)
+    book.learn_from_peers(dict)
     book.end(a)
     book.note_success(a, 0.1)
     book.note_success(b, 0.4)
     assert book.candidates("engines")[0].id == "a"
+
+
+def test_endpoint_that_fails_fast_draws_no_more_requests(book, clock):
+    # An endpoint that answered each request with an error at once looked free
+    # and quick, and got nearly all of them.
+    a, b = book.by_id["a"], book.by_id["b"]
+    for _ in range(8):
+        book.note_success(a, 0.1)
+        book.note_success(b, 0.1)
+        book.note_outcome(a, has_failed=True)
+        book.note_outcome(b, has_failed=False)
+    book.begin(b)
+    assert [found.id for found in book.candidates("engines")] == ["b", "a"]
+    clock.advance(FAILURE_HALF_LIFE_S * 8)
+    assert [found.id for found in book.candidates("engines")] == ["a", "b"]
+
+
+def test_pace_that_peers_measure_now_goes_before_an_old_one(book, clock):
+    a = book.by_id["a"]
+    book.note_success(a, 0.1)
+    book.learn_from_peers(lambda: {"a": EndpointState(1, 0.4)})
+    assert book.pace(a) == 0.1
+    clock.advance(PACE_FRESH_S + 0.1)
+    assert book.pace(a) == 0.4
+    book.learn_from_peers(lambda: {"a": EndpointState(1)})
+    assert book.pace(a) == 0.1
+
+
+def test_own_state_is_told_while_it_is_fresh(book, clock):
+    a = book.by_id["a"]
+    book.begin(a)
+    book.note_success(a, 0.1)
+    assert book.states_by_id() == {"a": EndpointState(1, 0.1)}
+    clock.advance(PACE_FRESH_S + 0.1)
+    assert book.states_by_id() == {"a": EndpointState(1)}
+    book.end(a)
+    assert book.states_by_id() == {}
--- a/libs/link/src/shallotstand/link/gateway_messages.py
+++ b/libs/link/src/shallotstand/link/gateway_messages.py
@@ -4,10 +4,18 @@
 
 
 class EndpointUse(NamedTuple):
-    """Requests that a process runs at an endpoint."""
+    """What a process runs at an endpoint.
+
+    Attributes:
+      endpoint: The endpoint.
+      running: Requests that run there.
+      pace_us: Microseconds for a unit of work, as just measured; 0 if it was
+        not measured lately.
+    """
 
     endpoint: str
     running: int
+    pace_us: int = 0
 
 
 class Presence(NamedTuple):
@@ -19,6 +27,8 @@
       reaches_store: Whether it can write to the store and takes work.
       uses: What it runs, by endpoint.
       batches: Identifiers of the batches that it runs or has run.
+      zone: Availability zone of its machine.
+      processor_share: What it may use of a core, in hundredths.
     """
 
     node: str
@@ -26,6 +36,8 @@
     reaches_store: bool
     uses: tuple[EndpointUse, ...]
     batches: tuple[str, ...] = ()
+    zone: str = ""
+    processor_share: int = 0
 
 
 class StoredObject(NamedTuple):
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -240,6 +240,7 @@
 struct EndpointUse {
   endpoint @0 :Text;
   running @1 :UInt16;
+  paceUs @2 :UInt32;
 }
 
 struct Presence {
@@ -248,6 +249,8 @@
   reachesStore @2 :Bool;
   uses @3 :List(EndpointUse);
   batches @4 :List(Text);
+  zone @5 :Text;
+  processorShare @6 :UInt16;
 }
 
 struct StoredObject {
--- a/libs/peers/src/shallotstand/peers/mesh.py
+++ b/libs/peers/src/shallotstand/peers/mesh.py
@@ -1,16 +1,17 @@
 """Connections between the gateways, and what they tell of themselves."""
 
 import asyncio
-import collections
 import hashlib
+import statistics
 from collections.abc import Callable, Iterator
 
 from absl import logging
 from shallotstand.core import logs
 from shallotstand.core.clock import Clock
 from shallotstand.core.failure import Failure
+from shallotstand.dispatch.endpoints import EndpointState
 from shallotstand.link.codec import encode
-from shallotstand.link.gateway_messages import Presence
+from shallotstand.link.gateway_messages import EndpointUse, Presence
 from shallotstand.link.link import Link
 from shallotstand.link.messages import Message
 from shallotstand.peers.registry import PeerAddress, PeerRegistry
@@ -30,6 +31,9 @@
 # A machine whose process never answered for this long is taken from the
 # registry.
 FORGET_S = 90.0
+# What the peers told of endpoints is joined again after this, since a peer may
+# have fallen silent.
+JOIN_S = 0.2
 
 
 # Takes a message and the link that it came by.
@@ -78,6 +82,8 @@
         self._links: set[Link] = set()
         self._links_by_process: dict[str, Link] = {}
         self._handlers_by_type: dict[type, Handler] = {}
+        self._states_by_endpoint: dict[str, EndpointState] = {}
+        self._joined_at = float("-inf")
         self._listeners: list[Callable[[], None]] = []
         self._server: asyncio.Server | None = None
 
@@ -176,14 +182,37 @@
         """Says whether this process comes first for some work."""
         return self.first_for(name) == self._own.process_id
 
-    def running_by_endpoint(self) -> dict[str, int]:
-        """Returns the requests that peers run, by endpoint."""
-        running = collections.Counter()
+    def states_by_endpoint(self) -> dict[str, EndpointState]:
+        """Returns what peers run and measure, by endpoint.
+
+        It is asked for each choice of an endpoint and joined far less often.
+        """
+        now = self._clock.monotonic()
+        if now - self._joined_at > JOIN_S:
+            self._joined_at = now
+            self._states_by_endpoint = self._join_states()
+        return self._states_by_endpoint
+
+    def _join_states(self) -> dict[str, EndpointState]:
+        uses_by_endpoint: dict[str, list[EndpointUse]] = {}
         for state in self._states_by_node.values():
             if state.presence is not None and self._is_alive(state):
                 for use in state.presence.uses:
-                    running[use.endpoint] += use.running
-        return running
+                    uses_by_endpoint.setdefault(use.endpoint, []).append(use)
+        return {
+            endpoint: _joined(uses)
+            for endpoint, uses in uses_by_endpoint.items()
+        }
+
+    def working_in_zone(self, zone: str) -> list[Presence]:
+        """Returns what the working peers of a zone told last."""
+        return [
+            presence for presence in self._working() if presence.zone == zone
+        ]
+
+    def link_to(self, process_id: str) -> Link | None:
+        """Returns the link to a process."""
+        return self._links_by_process.get(process_id)
 
     def _working(self) -> Iterator[Presence]:
         return (
@@ -276,6 +305,7 @@
                 peer=presence.process_id,
             )
         state.presence = presence
+        self._joined_at = float("-inf")
         for listener in self._listeners:
             listener()
 
@@ -304,3 +334,12 @@
     return hashlib.blake2b(
         f"{name}/{process_id}".encode(), digest_size=8
     ).digest()
+
+
+def _joined(uses: list[EndpointUse]) -> EndpointState:
+    """Joins what several peers know of one endpoint."""
+    paces_s = [use.pace_us / 1e6 for use in uses if use.pace_us]
+    return EndpointState(
+        sum(use.running for use in uses),
+        statistics.median(paces_s) if paces_s else None,
+    )
--- a/libs/peers/tests/test_mesh.py
+++ b/libs/peers/tests/test_mesh.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from shallotstand.core.clock import SystemClock
-from shallotstand.dispatch.endpoints import EndpointBook
+from shallotstand.dispatch.endpoints import EndpointBook, EndpointState
 from shallotstand.dispatch.slots import Need, SlotPool
 from shallotstand.documents.protocols import Change
 from shallotstand.link.gateway_messages import EndpointUse, Presence
@@ -132,7 +132,7 @@
         second.batches = ("batch",)
         second.uses = (EndpointUse("engine", 3),)
         await until(lambda: first.mesh.is_run("batch"))
-        assert first.mesh.running_by_endpoint() == {"engine": 3}
+        assert first.mesh.states_by_endpoint() == {"engine": EndpointState(3)}
         assert not second.mesh.is_run("batch")
 
     run(scenario, 2)
@@ -172,11 +172,16 @@
         await until(lambda: connected((first, second)))
         book = EndpointBook("zone-a", SystemClock())
         book.put(endpoint("engine", slots=2))
-        book.count_peers(first.mesh.running_by_endpoint)
+        book.learn_from_peers(first.mesh.states_by_endpoint)
         pool = SlotPool(book)
         first.mesh.subscribe(pool.assign)
         second.uses = (EndpointUse("engine", 2),)
-        await until(lambda: first.mesh.running_by_endpoint() == {"engine": 2})
+        await until(
+            lambda: (
+                first.mesh.states_by_endpoint().get("engine")
+                == EndpointState(2)
+            )
+        )
         need = Need("engines", "model", 1, (0.0,))
         waiting = asyncio.create_task(pool.acquire(need))
         await asyncio.sleep(0.5)
--- a/tests/adapter/test_front.py
+++ b/tests/adapter/test_front.py
@@ -265,7 +265,9 @@
             await asyncio.sleep(0.01)
         writer.close()
         await asyncio.sleep(0.2)
-        assert world.endpoints.running_by_id() == {}
+        assert not any(
+            state.running for state in world.endpoints.states_by_id().values()
+        )
 
     run(scenario)
 
