Place batches by the processors of a zone's gateways

Cause: the grown deployments have entry machines of 0.387 and of 2.15 cores, and a batch ran where its submission came in. Small gateways fell behind and their peers took them for gone.

--- a/apps/gateway/src/shallotstand/gateway/batching.py
+++ b/apps/gateway/src/shallotstand/gateway/batching.py
@@ -19,6 +19,7 @@
 from shallotstand.link.gateway_messages import Presence, StoreChanges
 from shallotstand.peers.batch_reads import PeerBatchReads
 from shallotstand.peers.mesh import PeerMesh
+from shallotstand.peers.placement import Placement
 from shallotstand.peers.registry import PeerAddress, PeerRegistry
 from shallotstand.peers.shared_store import SharedStore
 
@@ -50,6 +51,7 @@
       book: The batches in the log.
       service: Callers' calls on batches.
       registry: Where the gateways find each other.
+      placement: Chooses who runs a batch accepted here.
     """
 
     def __init__(
@@ -95,12 +97,23 @@
             clock,
             self._runs_here,
             PeerBatchReads(self._mesh, self._answer_peer),
+            process_id,
+        )
+        self.placement = Placement(
+            process_id,
+            boot.zone,
+            int(boot.processor_share * 100),
+            self._mesh,
+            lambda: sum(
+                state.running
+                for state in serving.endpoints.states_by_id().values()
+            ),
         )
         self._runner = BatchRunner(
             tools,
             self.book,
             log,
-            MeshOwnership(process_id, boot.node, self._mesh),
+            MeshOwnership(process_id, boot.node, self._mesh, clock),
             self._checkpoints,
             process_id,
             self.service.load,
--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -111,7 +111,7 @@
                 self._serving.desk,
                 self._batching.service,
                 self._activity,
-                process_id,
+                self._batching.placement.choose,
                 self._clock,
             )
         )
--- a/apps/gateway/src/shallotstand/gateway/ownership.py
+++ b/apps/gateway/src/shallotstand/gateway/ownership.py
@@ -2,21 +2,28 @@
 
 from absl import logging
 from shallotstand.batches.book import Batch
+from shallotstand.batches.runner import UNCLAIMED_S
 from shallotstand.core import logs
+from shallotstand.core.clock import Clock
 from shallotstand.peers.mesh import PeerMesh
 
 
 class MeshOwnership:
     """A batch runs where it was accepted, or else at the first that works."""
 
-    def __init__(self, process_id: str, node: str, mesh: PeerMesh):
+    def __init__(
+        self, process_id: str, node: str, mesh: PeerMesh, clock: Clock
+    ):
         """Makes the decision for one process.
 
         Args:
           process_id: The process; begins with the name of its machine.
           node: Name of its machine.
           mesh: What is known of the other processes.
+          clock: Source of time.
         """
+        self._clock = clock
+        self._unclaimed_since: dict[str, float] = {}
         self._process_id = process_id
         self._node = node
         self._mesh = mesh
@@ -49,4 +56,12 @@
         if owner.rpartition(".")[0] == self._node:
             # An earlier process of this machine; it can't be running.
             return True
-        return not self._mesh.is_working(owner) and self.is_abandoned(batch_id)
+        if not self.is_abandoned(batch_id):
+            self._unclaimed_since.pop(batch_id, None)
+            return False
+        if not self._mesh.is_working(owner) or self.was_claimed(batch_id):
+            return True
+        # The owner may not have heard yet that it is to run the batch.
+        now = self._clock.monotonic()
+        since = self._unclaimed_since.setdefault(batch_id, now)
+        return now - since >= UNCLAIMED_S
--- a/libs/batches/src/shallotstand/batches/peer_reads.py
+++ b/libs/batches/src/shallotstand/batches/peer_reads.py
@@ -3,7 +3,7 @@
 import base64
 import enum
 import itertools
-from typing import Any, NamedTuple, Protocol, TypedDict
+from typing import Any, NamedTuple, NotRequired, Protocol, TypedDict
 
 from shallotstand.batches.book import Batch, BatchBook
 from shallotstand.batches.records import (
@@ -11,6 +11,7 @@
     SUBMISSION_SUFFIX,
     Result,
     ResultGroup,
+    Submission,
     entry_name,
     results_from_spec,
     results_to_spec,
@@ -38,7 +39,8 @@
     """What one process wants of another that runs a batch.
 
     PAGE asks for results, BODY for an item's body, CHECK whether the batch is
-    the account's, END to end it, ENTRIES for all of it, to take it over.
+    the account's, END to end it, ENTRIES for all of it, to take it over. RUN
+    hands a batch to the process that is to run it.
     """
 
     PAGE = "page"
@@ -46,6 +48,7 @@
     CHECK = "check"
     END = "end"
     ENTRIES = "entries"
+    RUN = "run"
 
 
 class Question(TypedDict):
@@ -53,7 +56,8 @@
 
     `account` is the caller's client account and `wait_s` the time that the
     answer may take. `position` is the first one of a page and `item` the item
-    whose body is wanted; they are 0 and empty otherwise.
+    whose body is wanted; they are 0 and empty otherwise. `submission` comes
+    with RUN only.
     """
 
     action: Action
@@ -61,6 +65,7 @@
     item: str
     position: int
     wait_s: float
+    submission: NotRequired[dict[str, Any]]
 
 
 class BatchPeers(Protocol):
@@ -77,6 +82,12 @@
         """
         ...
 
+    async def ask_process(
+        self, process_id: str, batch_id: str, question: Question
+    ) -> Any | Failure:
+        """Asks a process; errors as for `ask`."""
+        ...
+
 
 class PeerReads:
     """Asks the process that runs a batch, in place of the store."""
@@ -118,6 +129,22 @@
         answer = await self._ask(batch_id, Action.END, account, timeout_s)
         return answer if isinstance(answer, Failure) else None
 
+    async def give(self, submission: Submission) -> Failure | None:
+        """Hands a batch to the process that is to run it."""
+        answer = await self._peers.ask_process(
+            submission.owner,
+            submission.id,
+            Question(
+                action=Action.RUN,
+                account=submission.account,
+                item="",
+                position=0,
+                wait_s=0.0,
+                submission=submission_to_spec(submission),
+            ),
+        )
+        return answer if isinstance(answer, Failure) else None
+
     async def load(self, batch_id: str) -> Batch | None:
         """Takes all entries of a batch; None if no peer has them."""
         answer = await self._ask(batch_id, Action.ENTRIES, "")
--- a/libs/batches/src/shallotstand/batches/service.py
+++ b/libs/batches/src/shallotstand/batches/service.py
@@ -1,5 +1,6 @@
 """What callers do with batches: submit, read and end them."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Any
 
@@ -16,11 +17,18 @@
     entries_answer,
     page_answer,
 )
-from shallotstand.batches.records import Result, Submission
+from shallotstand.batches.records import (
+    LOG_KIND,
+    SUBMISSION_SUFFIX,
+    Result,
+    Submission,
+    entry_name,
+)
 from shallotstand.core import logs
 from shallotstand.core.clock import Clock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
+from shallotstand.documents.protocols import Document
 
 # A page of results is at most this large; the rest follows with the next read.
 MAX_PAGE_BYTES = 900_000
@@ -45,6 +53,7 @@
         clock: Clock,
         runs_here: Callable[[str], bool] = lambda _: True,
         peers: BatchPeers | None = None,
+        process_id: str = "",
     ):
         """Makes the service of a process.
 
@@ -54,11 +63,14 @@
           clock: Source of time.
           runs_here: Says whether this process runs a batch.
           peers: The other processes; None if there are none.
+          process_id: This process.
         """
         self._book = book
         self._log = log
         self._clock = clock
         self._runs_here = runs_here
+        self._process_id = process_id
+        self._giving: set[asyncio.Task] = set()
         self._peer_reads = None if peers is None else PeerReads(book, peers)
 
     async def submit(
@@ -93,8 +105,20 @@
         )
         if isinstance(known, Failure):
             return known
+        self._give(known.submission)
         return _check_account(known, submission.account)
 
+    def _give(self, submission: Submission) -> None:
+        """Hands a batch over without waiting.
+
+        If that fails, a peer sees that nobody runs it.
+        """
+        if self._peer_reads is None or submission.owner == self._process_id:
+            return
+        task = asyncio.create_task(self._peer_reads.give(submission))
+        self._giving.add(task)
+        task.add_done_callback(self._giving.discard)
+
     async def read(
         self, account: str, batch_id: str, position: int, wait_s: float
     ) -> Page | Failure:
@@ -130,25 +154,33 @@
           BATCH_UNKNOWN: The batch is not known here.
           Others: As for the caller's call.
         """
+        if question["action"] == Action.RUN:
+            name = entry_name(batch_id, SUBMISSION_SUFFIX)
+            self._book.apply(
+                Document(LOG_KIND, name, 0, question["submission"])
+            )
         batch = self._book.by_id.get(batch_id)
         if batch is None:
             return Failure(ResultCode.BATCH_UNKNOWN, "Not known here.")
         if question["action"] == Action.ENTRIES:
             return entries_answer(batch)
         failure = _check_account(batch, question["account"])
-        if failure is None and question["action"] == Action.END:
-            failure = await self._end(
-                batch, self._clock.monotonic() + question["wait_s"]
-            )
         if failure is not None:
             return failure
-        if question["action"] in (Action.CHECK, Action.END):
-            return {}
-        if question["action"] == Action.BODY:
+        return await self._answer(batch, question)
+
+    async def _answer(self, batch: Batch, question: Question) -> Any:
+        action, wait_s = question["action"], question["wait_s"]
+        if action == Action.END:
+            failure = await self._end(batch, self._clock.monotonic() + wait_s)
+            return failure or {}
+        if action == Action.BODY:
             body = _body(batch, question["item"])
             return body if isinstance(body, Failure) else body_answer(body)
+        if action != Action.PAGE:
+            return {}
         position = question["position"]
-        page = await self._page(batch, position, question["wait_s"])
+        page = await self._page(batch, position, wait_s)
         return (
             page if isinstance(page, Failure) else page_answer(position, page)
         )
--- a/libs/batches/tests/test_peer_reads.py
+++ b/libs/batches/tests/test_peer_reads.py
@@ -23,6 +23,7 @@
     def __init__(self):
         self.service = None
         self.asked = 0
+        self.asked_processes = []
 
     async def ask(self, batch_id, question, wait_s):
         self.asked += 1
@@ -30,6 +31,10 @@
             return Failure(ResultCode.LINK_LOST, "no peer")
         return await self.service.answer_peer(batch_id, question)
 
+    async def ask_process(self, process_id, batch_id, question):
+        self.asked_processes.append(process_id)
+        return await self.ask(batch_id, question, 0.0)
+
 
 class World:
     """A process that runs a batch, and one where it is read."""
@@ -48,6 +53,7 @@
             CLOCK,
             lambda _: False,
             self.peers,
+            "gateway-2",
         )
 
     async def start(self):
@@ -193,6 +199,23 @@
     run(scenario)
 
 
+def test_batch_for_another_process_is_handed_to_it_with_its_content():
+    async def scenario(world, batch):
+        given = submission("new", item("c"), owner="gateway-1")
+        deadline = CLOCK.monotonic() + 1
+        assert await world.service.submit(given, deadline) is None
+        while "new" not in world.runner_book.by_id:
+            await asyncio.sleep(0.01)
+        assert world.runner_book.by_id["new"].submission == given
+        assert world.peers.asked_processes == ["gateway-1"]
+        kept = submission("own", item("d"), owner="gateway-2")
+        assert await world.service.submit(kept, deadline) is None
+        await asyncio.sleep(0.02)
+        assert "own" not in world.runner_book.by_id
+
+    run(scenario)
+
+
 def test_name_of_an_end_ends_a_batch():
     async def scenario(world, batch):
         await world.service.load("batch")
--- a/libs/peers/src/shallotstand/peers/batch_reads.py
+++ b/libs/peers/src/shallotstand/peers/batch_reads.py
@@ -42,7 +42,21 @@
         self, batch_id: str, question: Any, wait_s: float
     ) -> Any | Failure:
         """Asks the peer that runs a batch; errors as for its protocol."""
-        link = self._mesh.link_to_runner(batch_id)
+        return await self._ask(
+            self._mesh.link_to_runner(batch_id), batch_id, question, wait_s
+        )
+
+    async def ask_process(
+        self, process_id: str, batch_id: str, question: Any
+    ) -> Any | Failure:
+        """Asks a process about a batch; errors as for its protocol."""
+        return await self._ask(
+            self._mesh.link_to(process_id), batch_id, question, 0.0
+        )
+
+    async def _ask(
+        self, link: Link | None, batch_id: str, question: Any, wait_s: float
+    ) -> Any | Failure:
         if link is None:
             return Failure(ResultCode.LINK_LOST, "No peer runs the batch.")
         number = next(self._numbers)
--- a/tests/adapter/test_front.py
+++ b/tests/adapter/test_front.py
@@ -90,7 +90,7 @@
                 self.desk,
                 BatchService(self.batches, self.log, clock),
                 Activity(),
-                "gateway-1",
+                lambda: "gateway-1",
                 clock,
             )
         )
