Claim no open batch whose run has ended

A gateway whose run of a batch failed told its peers that it ran the batch, and none of them would have taken it. Found by reading; the new test fails without the change.

--- a/libs/batches/src/shallotstand/batches/runner.py
+++ b/libs/batches/src/shallotstand/batches/runner.py
@@ -83,9 +83,17 @@
         book.subscribe(self._review)
 
     def known(self) -> tuple[str, ...]:
-        """Returns the identifiers of the batches that run or ran here."""
+        """Returns the identifiers of the batches that run or ran here.
+
+        An open batch whose run has failed is left out, so that another
+        process may take it.
+        """
         self._ran_here &= self._book.by_id.keys()
-        return tuple(self._ran_here)
+        return tuple(
+            batch_id
+            for batch_id in self._ran_here
+            if self.runs(batch_id) or not self._book.by_id[batch_id].is_open
+        )
 
     def runs(self, batch_id: str) -> bool:
         """Says whether a batch runs here."""
--- a/libs/batches/tests/test_runner.py
+++ b/libs/batches/tests/test_runner.py
@@ -175,6 +175,33 @@
     run(world, scenario)
 
 
+def test_claimed_are_the_batches_that_run_and_those_that_are_whole(world):
+    async def scenario(runner):
+        await world.log.add_submission(
+            submission("batch", item("a")), soon(world)
+        )
+        assert runner.known() == ("batch",)
+        await until(lambda: world.batches.by_id["batch"].is_complete)
+        await until(lambda: not runner.runs("batch"))
+        assert runner.known() == ("batch",)
+
+    run(world, scenario)
+
+
+def test_open_batch_whose_run_ended_is_not_claimed(world):
+    async def scenario(runner):
+        world.engines.stream = lambda _: MemoryStream([5.0], 1)
+        await world.log.add_submission(
+            submission("batch", item("a")), soon(world)
+        )
+        await runner.stop()
+        await until(lambda: not runner.runs("batch"))
+        assert world.batches.by_id["batch"].is_open
+        assert runner.known() == ()
+
+    run(world, scenario)
+
+
 def test_batch_that_was_removed_meanwhile_is_forgotten(world):
     async def scenario(runner):
         world.batches.unread.add("gone")
