Probe the store at once after a failed call, and log who watches

Cause: the probed kind itself waited for the probe until its watch was over, so a process noticed a lost store up to 1.8 s late, and one failed call made every kind report an outage. Found by reading; both tests fail without the change. New lines say who watches, when a peer falls silent, and which reads a peer did not answer.

--- a/libs/batches/src/shallotstand/batches/service.py
+++ b/libs/batches/src/shallotstand/batches/service.py
@@ -115,10 +115,20 @@
         """
         if self._peer_reads is None or submission.owner == self._process_id:
             return
-        task = asyncio.create_task(self._peer_reads.give(submission))
+        task = asyncio.create_task(self._hand_over(submission))
         self._giving.add(task)
         task.add_done_callback(self._giving.discard)
 
+    async def _hand_over(self, submission: Submission) -> None:
+        failure = await self._peer_reads.give(submission)
+        logs.event(
+            logging.INFO,
+            "Batch handed over" if failure is None else "Batch not handed over",
+            batch=submission.id,
+            owner=submission.owner,
+            reason=failure.reason if failure else "",
+        )
+
     async def read(
         self, account: str, batch_id: str, position: int, wait_s: float
     ) -> Page | Failure:
@@ -140,6 +150,7 @@
             )
             if not isinstance(page, Failure):
                 return page
+            _log_unanswered(batch_id, Action.PAGE, page)
             # Nobody tells this process of new results.
             wait_s = min(wait_s, UNTOLD_WAIT_S)
         batch = await self._find(account, batch_id)
@@ -210,6 +221,7 @@
             body = await self._peer_reads.body(account, batch_id, item_id)
             if not isinstance(body, Failure):
                 return body
+            _log_unanswered(batch_id, Action.BODY, body)
         batch = await self._find(account, batch_id)
         return batch if isinstance(batch, Failure) else _body(batch, item_id)
 
@@ -229,6 +241,7 @@
             )
             if failure is None:
                 return None
+            _log_unanswered(batch_id, Action.END, failure)
         batch = await self._find(account, batch_id)
         if isinstance(batch, Failure):
             return batch
@@ -300,6 +313,17 @@
     return item.body
 
 
+def _log_unanswered(batch_id: str, action: Action, failure: Failure) -> None:
+    logs.event(
+        logging.INFO,
+        "No answer from the process that runs a batch; asking the store",
+        batch=batch_id,
+        action=action.value,
+        code=int(failure.code),
+        reason=failure.reason,
+    )
+
+
 def _check_account(batch: Batch, account: str) -> Failure | None:
     if batch.submission.account == account:
         return None
--- a/libs/peers/src/shallotstand/peers/change_feed.py
+++ b/libs/peers/src/shallotstand/peers/change_feed.py
@@ -37,9 +37,19 @@
             self._segments.popleft()
         self.wake()
 
+    @property
+    def was_heard(self) -> bool:
+        """Whether a peer ever told of the kind."""
+        return self._heard_at > float("-inf")
+
+    @property
+    def silence_s(self) -> float:
+        """Seconds since a peer last told of the kind."""
+        return self._clock.monotonic() - self._heard_at
+
     def is_fresh(self, fresh_s: float) -> bool:
         """Says whether a peer told of the kind in the last seconds."""
-        return self._clock.monotonic() - self._heard_at < fresh_s
+        return self.silence_s < fresh_s
 
     def wake(self) -> None:
         """Has all waits look anew at what they wait for."""
--- a/libs/peers/src/shallotstand/peers/shared_store.py
+++ b/libs/peers/src/shallotstand/peers/shared_store.py
@@ -4,6 +4,8 @@
 from collections.abc import Collection
 from typing import Any, NamedTuple, Protocol
 
+from absl import logging
+from shallotstand.core import logs
 from shallotstand.core.clock import Clock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
@@ -25,8 +27,8 @@
 # Share of a watch's time after which a process that heard nothing from the
 # watching one asks the store itself.
 FRESH_SHARE = 0.85
-# A watch that only closes a gap asks for an answer at once.
-GAP_WAIT_S = 0.02
+# A watch that closes a gap or probes the store asks for an answer at once.
+AT_ONCE_S = 0.02
 # A message has to stay below the limit of a link; more is left to the peers'
 # own watches.
 MAX_CONTENT_BYTES = 3_000_000
@@ -82,6 +84,8 @@
         self._feeds_by_kind: dict[str, ChangeFeed] = {}
         self._is_in_doubt = False
         self._cleared = asyncio.Event()
+        self._was_watcher = False
+        self._silent_kinds: set[str] = set()
 
     def join(self, peers: Peers) -> None:
         """Shares watches with peers from now on."""
@@ -94,6 +98,14 @@
             message.to_revision,
         )
         self._feed(message.kind).add(message.from_revision, changes)
+        if message.kind in self._silent_kinds:
+            self._silent_kinds.discard(message.kind)
+            logs.event(
+                logging.INFO,
+                "A peer tells of the store again",
+                kind=message.kind,
+                revision=message.to_revision,
+            )
 
     async def list(self, kind: str) -> Listing | Failure:
         """Reads every object of a kind."""
@@ -137,15 +149,18 @@
         """Waits for changes of a kind after a revision."""
         if self._is_watcher():
             return await self._watch_for_peers(kind, revision, wait_s)
-        is_probe = self._is_in_doubt and kind == self._options.probe_kind
-        if not is_probe:
+        if not self._is_probe(kind):
             told = await self._wait_told(kind, revision, wait_s)
             if told is not None:
                 return told
-            if self._is_in_doubt:
-                return await self._wait_cleared(kind, wait_s)
-            if self._is_fresh(kind, wait_s):
-                wait_s = GAP_WAIT_S
+        if self._is_in_doubt and not self._is_probe(kind):
+            if await self._wait_cleared(wait_s):
+                return await self.watch(kind, revision, wait_s)
+            return Failure(
+                ResultCode.STORE_UNAVAILABLE, f"{kind}: not asked in an outage"
+            )
+        if self._is_in_doubt or self._is_fresh(kind, wait_s):
+            wait_s = min(wait_s, AT_ONCE_S)
         return self._judge(
             kind, await self._store.watch(kind, revision, wait_s)
         )
@@ -184,35 +199,60 @@
             if told is None or told.revision > revision or left_s <= 0:
                 return told
             await feed.wait_heard(min(left_s, wait_s * FRESH_SHARE))
-            if self._is_in_doubt and kind == self._options.probe_kind:
+            if self._is_probe(kind):
                 return None
+        self._note_silence(kind)
         return None
 
-    async def _wait_cleared(self, kind: str, wait_s: float) -> Failure:
+    async def _wait_cleared(self, timeout_s: float) -> bool:
         """Waits until the probe has succeeded, instead of one more call."""
         try:
-            async with asyncio.timeout(wait_s):
+            async with asyncio.timeout(timeout_s):
                 await self._cleared.wait()
         except TimeoutError:
-            pass
-        return Failure(
-            ResultCode.STORE_UNAVAILABLE, f"{kind}: not asked in an outage"
-        )
+            return False
+        return True
+
+    def _is_probe(self, kind: str) -> bool:
+        """Says whether the kind's watch has to find out about the store."""
+        return self._is_in_doubt and kind == self._options.probe_kind
 
     def _is_watcher(self) -> bool:
-        return self._peers is None or self._peers.is_first_for(WATCHER)
+        is_watcher = self._peers is None or self._peers.is_first_for(WATCHER)
+        if is_watcher != self._was_watcher:
+            self._was_watcher = is_watcher
+            logs.event(
+                logging.INFO,
+                "Watches the store for its peers"
+                if is_watcher
+                else "Leaves the watches to a peer",
+            )
+        return is_watcher
 
     def _is_fresh(self, kind: str, wait_s: float) -> bool:
         return self._feed(kind).is_fresh(wait_s * FRESH_SHARE)
 
+    def _note_silence(self, kind: str) -> None:
+        """Logs that this process watches a kind itself from now on."""
+        if kind in self._silent_kinds or not self._feed(kind).was_heard:
+            return
+        self._silent_kinds.add(kind)
+        logs.event(
+            logging.INFO,
+            "No peer tells of the store; watching it here",
+            kind=kind,
+            silent_s=round(self._feed(kind).silence_s, 3),
+        )
+
     def _judge(
         self, kind: str, outcome: Changes | Failure
     ) -> Changes | Failure:
         """Takes the outcome of a watch; a good probe ends a doubt."""
         if not isinstance(outcome, Failure):
-            if kind == self._options.probe_kind and self._is_in_doubt:
+            if self._is_probe(kind):
                 self._is_in_doubt = False
                 self._cleared.set()
+                logs.event(logging.INFO, "The store answers the probe")
             return outcome
         return self._noted(outcome)
 
@@ -223,6 +263,12 @@
             and outcome.code in _UNSURE
             and not self._is_in_doubt
         ):
+            logs.event(
+                logging.INFO,
+                "A call failed; probing the store",
+                code=int(outcome.code),
+                reason=outcome.reason,
+            )
             self._is_in_doubt = True
             self._cleared = asyncio.Event()
             self._feed(self._options.probe_kind).wake()
--- a/libs/peers/tests/test_shared_store.py
+++ b/libs/peers/tests/test_shared_store.py
@@ -131,14 +131,31 @@
         await settled(documents)
         failing = follower.followers[0]
         documents.is_down = True
+        started = asyncio.get_running_loop().time()
         await follower.store.create("probe", "b", {})
         await until(lambda: failing.failing_since is not None)
+        # It does not wait for the end of a watch.
+        assert asyncio.get_running_loop().time() - started < WAIT_S / 2
         documents.set_down(False)
         await until(lambda: failing.failing_since is None)
 
     run(scenario)
 
 
+def test_call_that_failed_once_makes_no_outage():
+    async def scenario(documents, watcher, follower):
+        await settled(documents)
+        documents.is_down = True
+        await follower.store.create("probe", "b", {})
+        documents.is_down = False
+        await asyncio.sleep(WAIT_S)
+        assert all(one.failing_since is None for one in follower.followers)
+        await documents.create("names", "c", {})
+        await until(lambda: "c" in follower.names())
+
+    run(scenario)
+
+
 def test_only_the_probe_calls_in_an_outage():
     async def scenario(documents, watcher, follower):
         await settled(documents)
