--- a/apps/standins/src/shallotstand/standins/fleet.py
+++ b/apps/standins/src/shallotstand/standins/fleet.py
@@ -180,6 +180,11 @@
             await asyncio.sleep(0.05)
 
 
+def results_path(batch_id: str, after: int) -> str:
+    """Returns the path of a read of a batch's results from a position on."""
+    return f"/shallotstand/lots/{batch_id}?after={after}"
+
+
 def configuration(version: int, keys: tuple[str, ...] = ("key-1",)) -> dict:
     """Returns the operator's configuration."""
     common = {"host": HOST, "timeout_ms": 2000, "target_latency_ms": 200}
--- a/soak/load.py
+++ b/soak/load.py
@@ -7,11 +7,19 @@
 
 import aiohttp
 import orjson
-from shallotstand.standins.fleet import Fleet, Machine, batch
+from shallotstand.standins.fleet import (
+    Fleet,
+    Machine,
+    batch,
+    results_path,
+)
 
 _BROKEN = (aiohttp.ClientError, OSError, TimeoutError)
 CALL_TIMEOUT_S = 6.0
 ITEMS = 6
+# A position that was read has to be readable everywhere after this; the bound
+# of the users' platform.
+SETTLE_S = 1.0
 
 
 class Told(NamedTuple):
@@ -31,7 +39,7 @@
       accepted: Batches that were accepted.
       refused: Batches whose submission was refused each time.
       results_by_batch: Results by position, as first read.
-      conflicts: Positions that were read with two contents.
+      conflicts: Positions that were read with two contents, or not again.
     """
 
     def __init__(self, fleet: Fleet, seed: int):
@@ -83,19 +91,23 @@
         """Reads a batch until it is whole or the time is over."""
         loop = asyncio.get_running_loop()
         known = self.results_by_batch.setdefault(name, {})
+        read_at: dict[int, float] = {}
         while len(known) < ITEMS and loop.time() < until:
             after = self._rng.choice((0, len(known), len(known)))
+            asked_at = loop.time()
             status, body = await self._call(
-                "GET", f"/shallotstand/lots/{name}?after={after}", name
+                "GET", results_path(name, after), name
             )
             if status == 404:
                 self.conflicts.append(f"{name}: 404 after it was accepted")
             if status != 200:
                 await asyncio.sleep(0.2)
                 continue
-            for position, result in enumerate(
-                orjson.loads(body)["results"], after
-            ):
+            results = orjson.loads(body)["results"]
+            if not results and asked_at - read_at.get(after, until) > SETTLE_S:
+                self.conflicts.append(f"{name}: nothing at {after} any more")
+            for position, result in enumerate(results, after):
+                read_at.setdefault(position, loop.time())
                 if known.setdefault(position, result) != result:
                     self.conflicts.append(f"{name}: position {position}")
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,11 +3,12 @@
 import asyncio
 import types
 
+import orjson
 import pytest
 from shallotstand.standins.fleet_engine import FleetEngine
 
 from soak.checks import violations
-from soak.load import ITEMS, Load, Told
+from soak.load import ITEMS, SETTLE_S, Load, Told
 from soak.run import run
 from soak.schedule import draw
 
@@ -116,3 +117,34 @@
     found = violations(fleet, load)
     assert len(found) == 1
     assert said in found[0]
+
+
+def test_position_that_is_not_readable_any_more_is_a_conflict():
+    # What broke LOST on a grown deployment was not noticed by the soak.
+    class Forgetful:
+        """A fleet that lists one result and forgets it after a while."""
+
+        gateways = (None,)
+
+        async def call(self, gateway, method, path, *_):
+            await asyncio.sleep(0.01)
+            known = asyncio.get_running_loop().time() < forgets_at
+            after = int(path.rpartition("=")[2])
+            results = [{"id": "a"}][after:] if known else []
+            return 200, orjson.dumps({"results": results})
+
+    async def read():
+        nonlocal forgets_at
+        load = Load(Forgetful(), 1)
+        now = asyncio.get_running_loop().time()
+        forgets_at = now + 0.2
+        reading = asyncio.create_task(load.read_on("b", now + 3.0))
+        while not load.conflicts and not reading.done():
+            await asyncio.sleep(0.05)
+        reading.cancel()
+        return load.conflicts, asyncio.get_running_loop().time() - now
+
+    forgets_at = 0.0
+    conflicts, after_s = asyncio.run(read())
+    assert conflicts[0] == "b: nothing at 0 any more"
+    assert after_s > SETTLE_S
