Report requests that began before the first usage ledger

Cause: the first holder of the lease created the ledger with the last closed window as empty, so requests that gateways had already served in it were never reported; and a report did not wait for a process that had written no counts yet. Both give 7 of 10 requests when keepers start slower than gateways and the calls straddle the end of a window. The fleet test also read its sum as soon as the new holder had sent its predecessor's report again, which is before the window after it is created.

Ruled out: counts lost by the kill of the holder (reports are stored before they are sent, and the resend was seen in a run with calls on both sides of a window's end).

--- a/libs/duties/src/shallotstand/duties/usage_counts.py
+++ b/libs/duties/src/shallotstand/duties/usage_counts.py
@@ -47,6 +47,14 @@
 
     async def run(self) -> None:
         """Writes the counts of each window until cancelled."""
+        failure = await self.announce()
+        if failure is not None:
+            logs.event(
+                logging.WARNING,
+                "Usage counts not announced",
+                code=int(failure.code),
+                reason=failure.reason,
+            )
         while True:
             window = self._meter.current_window()
             due_at = self._meter.window_end_s(window) + WRITE_DELAY_S
@@ -60,6 +68,14 @@
                 )
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
+    async def announce(self) -> Failure | None:
+        """Registers this process, so that reports wait for its first counts.
+
+        Errors:
+          The same as for `write`.
+        """
+        return await self.write(self._meter.current_window() - 1)
+
     async def write(
         self, window: int, has_stopped: bool = False
     ) -> Failure | None:
--- a/libs/duties/src/shallotstand/duties/usage_reports.py
+++ b/libs/duties/src/shallotstand/duties/usage_reports.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import itertools
 from typing import Protocol, TypedDict
 
 from absl import logging
@@ -125,12 +126,7 @@
         if isinstance(ledger, Failure):
             if ledger.code != ResultCode.OBJECT_NOT_FOUND:
                 return ledger
-            last_closed_window = int(self._clock.wall() // self._window_s) - 1
-            ledger = await self._store.create(
-                LEDGER_KIND,
-                LEDGER_NAME,
-                Ledger(reports={str(last_closed_window): {}}),
-            )
+            ledger = await self._create_ledger()
             if isinstance(ledger, Failure):
                 return ledger
         self._ledger, self._fencing_token = ledger, self._lease.fencing_token
@@ -141,6 +137,30 @@
         }
         return None
 
+    async def _create_ledger(self) -> Document | Failure:
+        """Creates the ledger; reporting starts with the oldest counts.
+
+        Gateways may have served requests before a process held the lease for
+        the first time.
+        """
+        listing = await self._store.list(COUNTS_KIND)
+        if isinstance(listing, Failure):
+            return listing
+        last_closed_window = int(self._clock.wall() // self._window_s) - 1
+        counted_windows = itertools.chain.from_iterable(
+            document.spec["windows"] for document in listing.documents
+        )
+        last_empty_window = min(
+            (int(window) - 1 for window in counted_windows),
+            default=last_closed_window,
+        )
+        last_empty_window = min(last_empty_window, last_closed_window)
+        return await self._store.create(
+            LEDGER_KIND,
+            LEDGER_NAME,
+            Ledger(reports={str(last_empty_window): {}}),
+        )
+
     async def _create_report(self, window: int, age_s: float) -> Failure | None:
         listing = await self._store.list(COUNTS_KIND)
         if isinstance(listing, Failure):
--- a/libs/duties/tests/test_usage_reports.py
+++ b/libs/duties/tests/test_usage_reports.py
@@ -165,3 +165,58 @@
         assert await system.writers[0].write(window) is None
 
     run(scenario)
+
+
+def test_windows_closed_before_the_first_ledger_are_reported():
+    # Guards against requests that are never billed because gateways began to
+    # serve before a keeper held the lease for the first time.
+    async def scenario():
+        system = ReportingSystem()
+        system.meters[0].count_request("a", 0.0)
+        first = await system.close_window()
+        system.meters[1].count_request("b", 0.0)
+        second = await system.close_window()
+        for _ in range(4):
+            await system.reporter.step()
+        assert system.sink.counts_by_window()[first] == [{"a": 1}]
+        assert system.sink.counts_by_window()[second] == [{"b": 1}]
+
+    asyncio.run(scenario())
+
+
+def test_report_waits_for_the_first_counts_of_a_new_process():
+    # Guards against a report without the requests of a process whose first
+    # write is late, since the reporter has not heard of that process yet.
+    async def scenario(system):
+        for writer in system.writers:
+            await writer.announce()
+        system.meters[0].count_request("a", 0.0)
+        system.meters[1].count_request("a", 0.0)
+        window = await system.close_window(system.writers[0])
+        await system.reporter.step()
+        assert window not in system.sink.counts_by_window()
+        await system.writers[1].write(window)
+        await system.reporter.step()
+        assert system.sink.counts_by_window()[window] == [{"a": 2}]
+
+    run(scenario)
+
+
+def test_start_of_a_process_does_not_hide_its_predecessors_counts():
+    # Guards against an announcement that replaces counts in the store.
+    async def scenario(system):
+        system.meters[0].count_request("a", 0.0)
+        window = system.meters[0].current_window()
+        await system.writers[0].write(window)
+        successor = UsageWriter(
+            system.store,
+            UsageMeter(WINDOW_S, system.clock),
+            "gateway-0.2",
+            system.clock,
+        )
+        await successor.announce()
+        system.clock.advance(WINDOW_S + MAX_REPORT_DELAY_S)
+        await system.reporter.step()
+        assert system.sink.counts_by_window()[window] == [{"a": 1}]
+
+    run(scenario)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -2,10 +2,16 @@
 
 import asyncio
 import signal
+import time
 
 import orjson
 import pytest
-from shallotstand.standins.fleet import Fleet, batch_submission, configuration
+from shallotstand.standins.fleet import (
+    WINDOW_S,
+    Fleet,
+    batch_submission,
+    configuration,
+)
 
 BATCH_PATH = "/shallotstand/lots/b1"
 
@@ -147,6 +153,7 @@
         for number in range(10):
             gateway = (first, second)[number % 2]
             await fleet.call(gateway, "POST", "/plain/a", f"r{number}")
+        last_window = int(time.time() // WINDOW_S)
         reports = fleet.platform.reports
         await fleet.wait_until(
             lambda: any(counts for _, counts, _, _ in reports)
@@ -155,7 +162,15 @@
         for keeper in fleet.keepers:
             if keeper.node == holder:
                 await keeper.stop(signal.SIGKILL)
-        await fleet.wait_until(lambda: reports[-1][2] != holder, 20)
+        # The calls may straddle the end of a window, and the new holder sends
+        # the reports of its predecessor again before it creates new ones.
+        await fleet.wait_until(
+            lambda: any(
+                window > last_window and sender != holder
+                for window, _, sender, _ in reports
+            ),
+            20,
+        )
         counts_by_window = {}
         for window, counts, _, _ in reports:
             assert counts_by_window.setdefault(window, counts) == counts
