Report the window that closes just before the first usage ledger

Cause: the ledger was created 0.06 s after the end of a window, which it took for settled and empty, while gateways write their counts 1.2 s after the end. Seen in tests/test_fleet.py (no request of 10 reported; keeper log: lease taken at 933.56 s, empty report of the window 932 to 934 sent at 934.06 s).

The ledger now starts with the newest window whose counts can't arrive any more.

--- a/libs/duties/src/shallotstand/duties/usage_reports.py
+++ b/libs/duties/src/shallotstand/duties/usage_reports.py
@@ -46,9 +46,13 @@
     """The receiver of usage reports."""
 
     async def send_report(
-        self, window: int, counts: dict[str, int], fencing_token: int
+        self,
+        window: int,
+        counts: dict[str, int],
+        fencing_token: int,
+        budget_s: float,
     ) -> Failure | None:
-        """Sends a report.
+        """Sends a report, which must not arrive after `budget_s` seconds.
 
         Errors:
           STALE_EPOCH: The receiver has seen a higher fencing token.
@@ -146,15 +150,17 @@
         listing = await self._store.list(COUNTS_KIND)
         if isinstance(listing, Failure):
             return listing
-        last_closed_window = int(self._clock.wall() // self._window_s) - 1
+        # Counts of windows that ended after this time may still arrive.
+        settled_at = self._clock.wall() - MAX_REPORT_DELAY_S
+        last_settled_window = int(settled_at // self._window_s) - 1
         counted_windows = itertools.chain.from_iterable(
             document.spec["windows"] for document in listing.documents
         )
         last_empty_window = min(
             (int(window) - 1 for window in counted_windows),
-            default=last_closed_window,
+            default=last_settled_window,
         )
-        last_empty_window = min(last_empty_window, last_closed_window)
+        last_empty_window = min(last_empty_window, last_settled_window)
         return await self._store.create(
             LEDGER_KIND,
             LEDGER_NAME,
@@ -209,12 +215,18 @@
 
     async def _send_unsent_reports(self) -> Failure | None:
         for window, counts in sorted(self._unsent_reports.items()):
-            if not self._lease.is_held:
+            # Reading the ledger takes time, in which the lease may have
+            # expired and been acquired again.
+            budget_s = self._lease.call_budget_s
+            if (
+                budget_s <= 0
+                or self._fencing_token != self._lease.fencing_token
+            ):
                 return Failure(
                     ResultCode.LEASE_LAPSED, "The duty lease has expired."
                 )
             failure = await self._sink.send_report(
-                window, counts, self._fencing_token
+                window, counts, self._fencing_token, budget_s
             )
             if failure is not None:
                 if failure.code == ResultCode.STALE_EPOCH:
