Send duty calls only while no other holder can act

Receivers may not check fencing tokens, so the sender alone has to ensure the order of calls.

- A renewal without effect, read back, extended the lease: 1.3 s in which a standby may have taken over.
The read-back now compares the record written.
- A repeated renewal whose predecessor was carried out late extended the lease from the repeat.
- Instances that resign in turn alternated within the turn interval.
An instance that resigned since the lease last expired now waits.
- The monotonic clock does not count suspended time; CLOCK_BOOTTIME does.

Orders and reports of engines move from the endpoint client to a module of their own.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -72,7 +72,7 @@
             # Submissions are large, and few processes need them.
             kinds_without_content=(BATCH_LOG_KIND,),
         )
-        self._client = HttpEndpointClient(boot.instance)
+        self._client = HttpEndpointClient()
         self._serving = RequestServing(boot, self._client, self._clock)
         self._batch_subsystem = BatchSubsystem(
             ProcessIdentity(boot, process_id),
--- a/apps/keeper/src/shallotstand/keeper/main.py
+++ b/apps/keeper/src/shallotstand/keeper/main.py
@@ -5,7 +5,7 @@
 from absl import logging
 from shallotstand.adapter import decode, wire_names
 from shallotstand.adapter.boot import BootSettings
-from shallotstand.adapter.engines import HttpEndpointClient
+from shallotstand.adapter.engine_control import HttpEngineControl
 from shallotstand.adapter.following import receive_endpoint_change
 from shallotstand.adapter.process import (
     install_stop_handlers,
@@ -42,14 +42,20 @@
         self._store = PlatformStore(
             boot.store_address, make_store_call_counter(metrics)
         )
-        self._client = HttpEndpointClient(boot.instance)
+        self._engine_control = HttpEngineControl(boot.instance)
         self._usage_sink = PlatformUsageSink(
             boot.usage_report_address, boot.instance
         )
-        self._lease = DutyLease(self._store, process_id, boot.instance, clock)
+        self._lease = DutyLease(
+            self._store,
+            process_id,
+            boot.instance,
+            boot.duty_turn_interval_s,
+            clock,
+        )
         self._endpoint_registry = EndpointRegistry(boot.zone, clock)
         self._weight_updater = WeightUpdater(
-            self._endpoint_registry, self._client, self._lease, clock
+            self._endpoint_registry, self._engine_control, self._lease, clock
         )
         self._retirement_handler = RetirementHandler(
             StoreRetirementReporter(self._store), self._lease, boot.instance
@@ -110,7 +116,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await self._lease.resign()
-        await self._client.close()
+        await self._engine_control.close()
         await self._usage_sink.close()
         await self._store.close()
         logs.event(logging.INFO, "Stopped")
--- a/apps/standins/src/shallotstand/standins/fleet.py
+++ b/apps/standins/src/shallotstand/standins/fleet.py
@@ -28,6 +28,7 @@
 grace_s = 8
 status_ttl_s = 120
 report_window_s = {window}
+lease_ms = 3000
 [platform]
 address = "{platform}"
 [cloud]
--- a/libs/core/src/shallotstand/core/clock.py
+++ b/libs/core/src/shallotstand/core/clock.py
@@ -20,8 +20,12 @@
     """The clock of the operating system."""
 
     def monotonic(self) -> float:
-        """Returns the system's monotonic time."""
-        return time.monotonic()
+        """Returns the system's monotonic time, including suspended time.
+
+        A process must not take its leases for valid after its instance was
+        suspended.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall(self) -> float:
         """Returns the system's wall-clock time."""
--- a/libs/duties/src/shallotstand/duties/lease.py
+++ b/libs/duties/src/shallotstand/duties/lease.py
@@ -1,7 +1,7 @@
 """The lease that determines which process performs the duties."""
 
 import asyncio
-from typing import TypedDict
+from typing import NamedTuple, TypedDict
 
 from absl import logging
 from shallotstand.core import logs
@@ -15,6 +15,10 @@
 # A holder considers the lease valid for this long after the start of its last
 # successful renewal.
 LEASE_DURATION_S = 4.0
+# Calls made under the lease have to arrive this long before it expires. Nobody
+# else may check the order of fencing tokens, and a stalled process notices the
+# end of a timeout late.
+CALL_MARGIN_S = 0.5
 # Interval at which the holder renews the lease. Each renewal is a write to the
 # store, and writes are billed.
 RENEWAL_INTERVAL_S = 1.3
@@ -34,12 +38,26 @@
 
     `holder` is the process that holds the lease, or empty; `fence` is the
     fencing token, which increases with each change of the holder; `renewals`
-    counts the renewals under this token.
+    counts the renewals under this token; `resigned_instances` are the instances
+    whose processes released the lease since it last expired.
     """
 
     holder: str
     fence: int
     renewals: int
+    resigned_instances: list[str]
+
+
+class _Attempt(NamedTuple):
+    """A write of the lease that may or may not have taken effect.
+
+    Attributes:
+      record: The record that was written.
+      started_at: Monotonic seconds at which it was first sent.
+    """
+
+    record: LeaseRecord
+    started_at: float
 
 
 class DutyLease:
@@ -50,7 +68,12 @@
     """
 
     def __init__(
-        self, store: DocumentStore, process_id: str, instance: str, clock: Clock
+        self,
+        store: DocumentStore,
+        process_id: str,
+        instance: str,
+        turn_interval_s: float,
+        clock: Clock,
     ):
         """Creates the view of one process.
 
@@ -59,17 +82,22 @@
           process_id: Identifier of the process; starts with the name of its
             instance.
           instance: Name of its instance.
+          turn_interval_s: Seconds within which two instances must not act as
+            holder by turns.
           clock: Source of time.
         """
         self._store = store
         self._process_id = process_id
         self._instance = instance
+        self._turn_interval_s = turn_interval_s
         self._clock = clock
         self._document: Document | None = None
+        self._attempt: _Attempt | None = None
         self._unchanged_since = clock.monotonic()
         self._valid_until = 0.0
         self._was_held = False
         self._has_resigned = False
+        self._is_fenced_off = False
         self.fencing_token = 0
 
     @property
@@ -77,6 +105,17 @@
         """Whether this process holds the lease now."""
         return self._clock.monotonic() < self._valid_until
 
+    @property
+    def call_budget_s(self) -> float:
+        """Seconds within which a call under the lease has to arrive.
+
+        A call that has not arrived by then must be abandoned; none may be
+        started if this is 0.
+        """
+        return max(
+            0.0, self._valid_until - CALL_MARGIN_S - self._clock.monotonic()
+        )
+
     async def run(self) -> None:
         """Renews the lease or tries to acquire it, until cancelled."""
         while True:
@@ -107,7 +146,14 @@
         was_held, self._valid_until = self.is_held, 0.0
         self._log_change()
         if was_held and self._document is not None:
-            record = {**self._document.spec, "holder": ""}
+            record = {
+                **self._document.spec,
+                "holder": "",
+                "resigned_instances": [
+                    *_resigned_instances(self._document.spec),
+                    self._instance,
+                ],
+            }
             await self._store.replace(
                 LEASE_KIND, LEASE_NAME, record, self._document.revision
             )
@@ -122,21 +168,14 @@
         )
         self._valid_until = 0.0
         self._document = None
+        self._is_fenced_off = True
         self._unchanged_since = self._clock.monotonic()
 
     async def _renew(self) -> None:
         record: LeaseRecord = self._document.spec
-        started_at = self._clock.monotonic()
-        outcome = await self._store.replace(
-            LEASE_KIND,
-            LEASE_NAME,
-            {**record, "renewals": record["renewals"] + 1},
-            self._document.revision,
-        )
-        await self._apply_write(outcome, started_at)
+        await self._write({**record, "renewals": record["renewals"] + 1})
 
     async def _try_acquire(self) -> None:
-        started_at = self._clock.monotonic()
         outcome = await self._store.get(
             LEASE_KIND, LEASE_NAME, may_be_stale=True
         )
@@ -144,70 +183,99 @@
             if outcome.code == ResultCode.OBJECT_NOT_FOUND and (
                 not self._has_resigned
             ):
-                record = LeaseRecord(
-                    holder=self._process_id, fence=1, renewals=0
-                )
-                created = await self._store.create(
-                    LEASE_KIND, LEASE_NAME, record
-                )
-                await self._apply_write(created, started_at)
+                self._document = None
+                await self._write(self._new_record(1, []))
             return
         self._observe(outcome)
         if self._has_resigned:
             return
-        if not self._can_take_over(outcome.spec["holder"]):
+        record: LeaseRecord = outcome.spec
+        if not self._can_take_over(record):
             return
-        record = LeaseRecord(
+        has_expired = record["holder"] and not self._is_own(record["holder"])
+        await self._write(
+            self._new_record(
+                record["fence"] + 1,
+                [] if has_expired else _resigned_instances(record),
+            )
+        )
+
+    def _new_record(
+        self, fence: int, resigned_instances: list[str]
+    ) -> LeaseRecord:
+        return LeaseRecord(
             holder=self._process_id,
-            fence=outcome.spec["fence"] + 1,
+            fence=fence,
             renewals=0,
+            resigned_instances=resigned_instances,
         )
-        started_at = self._clock.monotonic()
-        replaced = await self._store.replace(
-            LEASE_KIND, LEASE_NAME, record, outcome.revision
-        )
-        await self._apply_write(replaced, started_at)
 
-    def _can_take_over(self, holder: str) -> bool:
-        if not holder:
-            return True
-        if holder != self._process_id and (
-            holder.rpartition(".")[0] == self._instance
-        ):
-            # The holder is an earlier process of this instance, which can't be
-            # running any more.
+    def _can_take_over(self, record: LeaseRecord) -> bool:
+        unchanged_s = self._clock.monotonic() - self._unchanged_since
+        if not record["holder"]:
+            # Another instance should take over. Two that resign in turn would
+            # otherwise alternate as holders.
+            return (
+                self._instance not in _resigned_instances(record)
+                or unchanged_s >= self._turn_interval_s
+            )
+        if self._is_own(record["holder"]) and not self._is_fenced_off:
             return True
-        return (
-            self._clock.monotonic() - self._unchanged_since >= TAKEOVER_DELAY_S
-        )
+        return unchanged_s >= TAKEOVER_DELAY_S
 
-    async def _apply_write(
-        self, outcome: Document | Failure, started_at: float
-    ) -> None:
-        """Updates the state after a write that acquires or renews the lease."""
-        if isinstance(outcome, Failure):
-            if outcome.code != ResultCode.STORE_UNAVAILABLE:
-                await self._read_back(started_at)
-            return
-        if outcome.spec["holder"] != self._process_id:
-            self._observe(outcome)
-            self._valid_until = 0.0
-            return
-        self._document = outcome
-        self._unchanged_since = self._clock.monotonic()
-        self.fencing_token = outcome.spec["fence"]
-        self._valid_until = started_at + LEASE_DURATION_S
+    def _is_own(self, holder: str) -> bool:
+        """Returns whether a holder is this or an earlier process here.
+
+        An earlier process of this instance can't be running any more. This
+        process itself is the holder after a write without a response.
+        """
+        return holder.rpartition(".")[0] == self._instance
 
-    async def _read_back(self, started_at: float) -> None:
+    async def _write(self, record: LeaseRecord) -> None:
+        """Writes a record in which this process is the holder."""
+        now = self._clock.monotonic()
+        if self._attempt is None or self._attempt.record != record:
+            self._attempt = _Attempt(record, now)
+        if self._document is None:
+            outcome = await self._store.create(LEASE_KIND, LEASE_NAME, record)
+        else:
+            outcome = await self._store.replace(
+                LEASE_KIND, LEASE_NAME, record, self._document.revision
+            )
+        if not isinstance(outcome, Failure):
+            self._hold(outcome, now)
+        elif outcome.code != ResultCode.STORE_UNAVAILABLE:
+            await self._read_back()
+
+    async def _read_back(self) -> None:
         """Reads the lease to determine the holder after a failed write."""
         current = await self._store.get(LEASE_KIND, LEASE_NAME)
         if isinstance(current, Failure):
             return
-        if current.spec["holder"] == self._process_id:
-            await self._apply_write(current, started_at)
+        if current.spec == self._attempt.record:
+            # An earlier write of the same record may have taken effect.
+            self._hold(current, self._attempt.started_at)
             return
         self._observe(current)
-        self._valid_until = 0.0
+        if current.spec["holder"] != self._process_id:
+            self._valid_until = 0.0
+
+    def _hold(self, document: Document, written_after: float) -> None:
+        """Records that this process holds the lease.
+
+        Args:
+          document: The lease.
+          written_after: Monotonic seconds before which it can't have been
+            written.
+        """
+        self._document = document
+        self._attempt = None
+        self._is_fenced_off = False
+        self._unchanged_since = self._clock.monotonic()
+        self.fencing_token = document.spec["fence"]
+        self._valid_until = max(
+            self._valid_until, written_after + LEASE_DURATION_S
+        )
 
     def _observe(self, document: Document) -> None:
         if (
@@ -227,3 +295,8 @@
             fence=self.fencing_token,
             revision=self._document.revision if self._document else 0,
         )
+
+
+def _resigned_instances(record: LeaseRecord) -> list[str]:
+    # Records of earlier versions of this program lack the field.
+    return record.get("resigned_instances", [])
--- a/libs/duties/src/shallotstand/duties/weight_updates.py
+++ b/libs/duties/src/shallotstand/duties/weight_updates.py
@@ -66,12 +66,14 @@
       fencing_token: Fencing token of the process that sends the order.
       expected_orders: Number of orders that the engine has to have accepted
         before this one.
+      budget_s: Seconds after which the order must not arrive any more.
     """
 
     model: str
     version: int
     fencing_token: int
     expected_orders: int
+    budget_s: float
 
 
 class EngineControl(Protocol):
@@ -259,10 +261,11 @@
         if report.is_busy or report.version_by_model.get(model, 0) >= version:
             await asyncio.sleep(BUSY_RETRY_S if report.is_busy else 0)
             return
-        if not self._lease.is_held:
+        budget_s = self._lease.call_budget_s
+        if budget_s <= 0:
             return
         order = VersionOrder(
-            model, version, self._lease.fencing_token, report.orders
+            model, version, self._lease.fencing_token, report.orders, budget_s
         )
         outcome = await self._control.send_order(endpoint, order)
         logs.event(
