--- a/libs/duties/tests/test_usage_reports.py
+++ b/libs/duties/tests/test_usage_reports.py
@@ -124,7 +124,7 @@
         system.meters[0].count_request("a", 0.0)
         system.sink.failure = Failure(ResultCode.OUTCOME_UNKNOWN, "lost")
         window = await system.close_window()
-        await system.settle()
+        await system.reporter.step()
         # Counts that arrive late don't change the stored report.
         system.meters[1].count_request("a", WINDOW_S)
         await system.writers[1].write(window + 1)
