--- /dev/null
+++ b/apps/standins/src/shallotstand/standins/endless_http.py
@@ -0,0 +1,85 @@
+"""An HTTP server whose responses never end."""
+
+import asyncio
+import enum
+
+
+class EndlessPart(enum.Enum):
+    """The part of a response that goes on until the client closes.
+
+    Each value holds the bytes before that part and the bytes that repeat.
+    """
+
+    STATUS_LINE = (b"HTTP/1.1 200 ", b"a" * 1024)
+    HEADER = (b"HTTP/1.1 200 OK\r\nX-Own: ", b"a" * 1024)
+    HEADERS = (b"HTTP/1.1 200 OK\r\n", b"X-Own: 1\r\n" * 100)
+    INFORMATIONAL = (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 10)
+    CHUNKED_BODY = (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"a" * 65536 + b"\r\n",
+    )
+    UNFRAMED_BODY = (b"HTTP/1.1 200 OK\r\n\r\n", b"a" * 65536)
+    CHUNK_EXTENSION = (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        b"a" * 1024,
+    )
+    EVENT = (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"data: a\n" * 8192 + b"\r\n",
+    )
+    TRAILER = (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X-Own: 1\r\n" * 100,
+    )
+    BEYOND_LENGTH = (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+        b"a" * 1024,
+    )
+
+
+class EndlessServer:
+    """Replies to each connection with a response that never ends.
+
+    Attributes:
+      sent_bytes: Bytes that the connections have accepted so far.
+      open_connections: Number of connections that are still written to.
+    """
+
+    def __init__(self, part: EndlessPart):
+        self._start, self._repeated = part.value
+        self._server: asyncio.Server | None = None
+        self.sent_bytes = 0
+        self.open_connections = 0
+
+    async def __aenter__(self) -> "EndlessServer":
+        self._server = await asyncio.start_server(
+            self._handle_connection, "127.0.0.1", 0
+        )
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        self._server.close()
+
+    @property
+    def address(self) -> str:
+        """Host and port that the server listens on."""
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def _handle_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(1)
+        self.open_connections += 1
+        data = self._start + self._repeated
+        try:
+            while not writer.is_closing():
+                writer.write(data)
+                await writer.drain()
+                self.sent_bytes += len(data)
+                data = self._repeated
+        except ConnectionError:
+            pass
+        finally:
+            self.open_connections -= 1
+            writer.close()
