Start the step of a rollout test once the engine is used

Ruled out: a request lost on its way to the engine (no request was sent to it; no peer had disconnected). The order of starts was not forced to show it again.

The test now sends requests through each entry until the engine runs one, then makes the same checks.

--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -1,6 +1,7 @@
 """Rollout steps over real processes of which some are killed."""
 
 import asyncio
+import itertools
 import pathlib
 
 import aiohttp
@@ -14,7 +15,13 @@
     step_groups,
     wait_ready,
 )
-from shallotstand.standins.demo_config import GUEST_KEY, JOB, TRAINER_KEY
+from shallotstand.standins.demo_client import completion_body
+from shallotstand.standins.demo_config import (
+    GUEST_KEY,
+    JOB,
+    MODEL,
+    TRAINER_KEY,
+)
 from shallotstand.standins.demo_fleet import Fleet, FleetPlan
 from shallotstand.standins.trainer import Trainer
 
@@ -104,8 +111,9 @@
 
     async def check(fleet, demo):
         trainer = demo.trainer(TRAINER_KEY)
-        taking = asyncio.create_task(trainer.take(0, step_groups(0)))
         (engine,) = [e for e in plan.endpoints if e.name == "e1"]
+        await wait_until_used(demo, engine.address)
+        taking = asyncio.create_task(trainer.take(0, step_groups(0)))
         async with asyncio.timeout(10):
             while not await running(demo, engine.address):
                 await asyncio.sleep(0.05)
@@ -119,6 +127,29 @@
     run_fleet(plan, tmp_path, check)
 
 
+async def wait_until_used(demo: Demo, address) -> None:
+    """Sends requests through each entry until an engine runs one of each.
+
+    An engine that starts after its sidecar is used about a second later, and
+    a step may be whole by then.
+    """
+    async with asyncio.timeout(10):
+        for number, caller in enumerate(demo.callers(TRAINER_KEY)):
+            prompts = (f"use {number}/{n}" for n in itertools.count())
+            while not await has_run(demo, address, f"use {number}/"):
+                body = completion_body(MODEL, next(prompts), 1, stream=False)
+                await caller.post("/v1/completions", body)
+
+
+async def has_run(demo: Demo, address, prompt_prefix: str) -> bool:
+    """Returns whether an engine has run a prompt with this prefix."""
+    async with demo.session.get(f"http://{address}/record") as response:
+        record = orjson.loads(await response.read())
+    return any(
+        run["prompt"].startswith(prompt_prefix) for run in record["runs"]
+    )
+
+
 async def running(demo: Demo, address) -> int:
     """Returns the number of requests that an engine reports to run."""
     async with demo.session.get(f"http://{address}/load") as response:
