Bound the waits of streams to callers

Cause: nothing bounded the wait for a stream's next event but the caller, so an engine that stalled, also one that sent a byte now and then, held the stream and a slot of the engine without end.

A stream now ends at its deadline; one that may resume does so after 2 s without an event while another endpoint is left. A slow one goes on. Ruled out: joined runs with gaps or repeats (streams cut at 30 random points passed before the change too), and a cut stream that looks complete.

Result: the two tests of stalled streams fail without the change, the four of sound and cut ones pass both ways.

--- a/libs/dispatch/src/shallotstand/dispatch/streams.py
+++ b/libs/dispatch/src/shallotstand/dispatch/streams.py
@@ -1,5 +1,6 @@
 """Forwards streams to callers and resumes them on other endpoints."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
 from absl import logging
@@ -16,6 +17,11 @@
 )
 from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
 
+# Longest gap between events before a stream resumes on another endpoint. A
+# stream that can't resume has until its deadline, since a slow endpoint may
+# still complete it.
+STALL_TIMEOUT_S = 2.0
+
 
 class CallerStream:
     """A stream to one caller, which several endpoints may serve in turn.
@@ -87,7 +93,8 @@
         """Yields the events in order, without gaps or duplicates."""
         while self._stream is not None:
             failure = None
-            async for event in self._stream.events():
+            events = aiter(self._stream.events())
+            while (event := await self._next_event(events)) is not None:
                 if isinstance(event, Failure):
                     failure = event
                     break
@@ -118,6 +125,25 @@
                 yield resume_failure
                 return
 
+    async def _next_event(
+        self, events: AsyncIterator[StreamEvent | Failure]
+    ) -> StreamEvent | Failure | None:
+        """Returns the next event; None after the last one.
+
+        Bytes that complete no event do not extend the time.
+        """
+        timeout_s = self._deadline - self._clock.monotonic()
+        if self._next_endpoints():
+            timeout_s = min(timeout_s, STALL_TIMEOUT_S)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await anext(events, None)
+        except TimeoutError:
+            return Failure(
+                ResultCode.ENDPOINT_TIMEOUT,
+                f"No event for {timeout_s:.1f} s.",
+            )
+
     def close(self) -> None:
         """Closes the stream from the current endpoint."""
         if self._stream is not None:
@@ -172,22 +198,27 @@
         self._stream = outcome
         return outcome
 
+    def _next_endpoints(self) -> list[Endpoint]:
+        """Returns the endpoints on which the stream may resume now."""
+        may_resume = (
+            self._route.is_resumable
+            and len(self._tried_endpoint_ids) < max(1, self._route.max_attempts)
+            and self._clock.monotonic() < self._deadline
+        )
+        return self._candidates() if may_resume else []
+
     async def _resume(self, failure: Failure) -> Failure | None:
-        if not self._route.is_resumable:
-            return failure
         logs.event(
             logging.INFO,
-            "Stream resumes elsewhere",
+            "Stream resumes elsewhere"
+            if self._route.is_resumable
+            else "Stream cut off",
             request=self._endpoint_request.request_id,
             next_event=self._next_event_number,
             reason=failure.reason,
         )
-        for endpoint in self._candidates():
-            if len(self._tried_endpoint_ids) >= max(
-                1, self._route.max_attempts
-            ):
-                break
-            outcome = await self._attempt(endpoint)
+        while endpoints := self._next_endpoints():
+            outcome = await self._attempt(endpoints[0])
             if not isinstance(outcome, Failure):
                 return None
         return failure
