Write usage counts only in windows with requests

Cause: each gateway wrote its counts in each window of 5 s, also without a request: with 58 gateways 11.6 of about 47 calls to the store a second, while base quotes reach about a third of them in a window.

A process announces itself with its first request, writes while it counts, and says that it is idle after a window without any; reports wait for it from the announcement on. A document that was deleted meanwhile is created again (before, its writer retried without end). Ruled out: counts sent through peers, since keepers have no links to gateways.

Result: the new tests fail without the change.

--- a/libs/dispatch/src/shallotstand/dispatch/usage.py
+++ b/libs/dispatch/src/shallotstand/dispatch/usage.py
@@ -1,6 +1,7 @@
 """Counts requests by client account and by the window in which they began."""
 
 import collections
+from collections.abc import Callable
 
 from shallotstand.core.clock import Clock
 
@@ -21,8 +22,13 @@
     def __init__(self, window_s: float, clock: Clock):
         self._window_s = window_s
         self._clock = clock
+        self._listeners: list[Callable[[], None]] = []
         self.counts_by_window: dict[int, collections.Counter[str]] = {}
 
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Calls the listener after each request that is counted."""
+        self._listeners.append(listener)
+
     def current_window(self) -> int:
         """Returns the number of the current window."""
         return int(self._clock.wall() // self._window_s)
@@ -45,3 +51,5 @@
         ] += 1
         for expired_window in sorted(self.counts_by_window)[:-MAX_WINDOWS]:
             del self.counts_by_window[expired_window]
+        for listener in self._listeners:
+            listener()
--- a/libs/documents/src/shallotstand/documents/single_writer_document.py
+++ b/libs/documents/src/shallotstand/documents/single_writer_document.py
@@ -4,7 +4,7 @@
 
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
-from shallotstand.documents.protocols import DocumentStore
+from shallotstand.documents.protocols import Document, DocumentStore
 
 
 class SingleWriterDocument:
@@ -27,14 +27,15 @@
         Errors:
           STORE_UNAVAILABLE, OUTCOME_UNKNOWN, VERSION_CONFLICT: The write may
             be retried.
-          OBJECT_NOT_FOUND: The document was deleted after an earlier write.
           VALUE_TOO_LARGE: The document exceeds the store's size limit.
         """
+        outcome = None
         if self._revision:
             outcome = await self._store.replace(
                 self._kind, self._name, spec, self._revision
             )
-        else:
+        if outcome is None or _is_not_found(outcome):
+            # It was never written, or deleted after an earlier write.
             outcome = await self._store.create(self._kind, self._name, spec)
         if not isinstance(outcome, Failure):
             self._revision = outcome.revision
@@ -49,3 +50,10 @@
             if not isinstance(current, Failure):
                 self._revision = current.revision
         return outcome
+
+
+def _is_not_found(outcome: Document | Failure) -> bool:
+    return (
+        isinstance(outcome, Failure)
+        and outcome.code == ResultCode.OBJECT_NOT_FOUND
+    )
--- a/libs/duties/src/shallotstand/duties/usage_counts.py
+++ b/libs/duties/src/shallotstand/duties/usage_counts.py
@@ -23,16 +23,18 @@
 
     `closed_window` is the newest complete window; `windows` maps the window
     number, as a string, to counts by client account; `has_stopped` is true if
-    the process will write no more counts.
+    the process will write no more counts, `is_idle` if it will write none until
+    it has announced itself again.
     """
 
     closed_window: int
     windows: dict[str, dict[str, int]]
     has_stopped: bool
+    is_idle: bool
 
 
 class UsageWriter:
-    """Writes a process's counts to the store once per window."""
+    """Writes a process's counts to the store once per window with requests."""
 
     def __init__(
         self,
@@ -44,32 +46,42 @@
         self._document = SingleWriterDocument(store, COUNTS_KIND, process_id)
         self._meter = meter
         self._clock = clock
+        self._has_counted = asyncio.Event()
+        meter.subscribe(self._has_counted.set)
 
     async def run(self) -> None:
-        """Writes the counts of each window until cancelled."""
-        failure = await self.announce()
-        if failure is not None:
-            logs.event(
-                logging.WARNING,
-                "Usage counts not announced",
-                code=int(failure.code),
-                reason=failure.reason,
-            )
+        """Writes the counts of windows with requests until cancelled."""
+        while True:
+            await self._has_counted.wait()
+            failure = await self.announce()
+            if failure is not None:
+                _log_failure("Usage counts not announced", failure)
+            while not await self._write_next_window():
+                pass
+
+    async def _write_next_window(self) -> bool:
+        """Writes the counts of the current window once it has ended.
+
+        Returns:
+          Whether the process is idle: it has counted no requests meanwhile.
+        """
+        self._has_counted.clear()
+        window = self._meter.current_window()
+        due_at = self._meter.window_end_s(window) + WRITE_DELAY_S
+        await asyncio.sleep(max(0.0, due_at - self._clock.wall()))
         while True:
-            window = self._meter.current_window()
-            due_at = self._meter.window_end_s(window) + WRITE_DELAY_S
-            await asyncio.sleep(max(0.0, due_at - self._clock.wall()))
-            while isinstance(failure := await self.write(window), Failure):
-                logs.event(
-                    logging.WARNING,
-                    "Usage counts wait for the store",
-                    window=window,
-                    reason=failure.reason,
-                )
-                await asyncio.sleep(RETRY_INTERVAL_S)
+            is_idle = not (
+                self._has_counted.is_set()
+                or window in self._meter.counts_by_window
+            )
+            failure = await self.write(window, is_idle=is_idle)
+            if failure is None:
+                return is_idle
+            _log_failure("Usage counts wait for the store", failure)
+            await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def announce(self) -> Failure | None:
-        """Registers this process, so that reports wait for its first counts.
+        """Registers this process, so that reports wait for its counts.
 
         Errors:
           The same as for `write`.
@@ -77,7 +89,7 @@
         return await self.write(self._meter.current_window() - 1)
 
     async def write(
-        self, window: int, has_stopped: bool = False
+        self, window: int, has_stopped: bool = False, is_idle: bool = False
     ) -> Failure | None:
         """Writes the counts of the windows up to and including `window`.
 
@@ -93,5 +105,15 @@
                 if number <= window
             },
             has_stopped=has_stopped,
+            is_idle=is_idle,
         )
         return await self._document.write(record)
+
+
+def _log_failure(message: str, failure: Failure) -> None:
+    logs.event(
+        logging.WARNING,
+        message,
+        code=int(failure.code),
+        reason=failure.reason,
+    )
--- a/libs/duties/src/shallotstand/duties/usage_reports.py
+++ b/libs/duties/src/shallotstand/duties/usage_reports.py
@@ -258,6 +258,6 @@
 
     A process counts as running if it has written those of the previous window.
     """
-    if record["has_stopped"]:
+    if record["has_stopped"] or record.get("is_idle"):
         return False
     return record["closed_window"] == window - 1
--- a/libs/duties/tests/test_usage_reports.py
+++ b/libs/duties/tests/test_usage_reports.py
@@ -1,12 +1,13 @@
 """Each window has one report, whose counts never change."""
 
 import asyncio
+import time
 
 from shallotstand.core.clock import ManualClock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.usage import UsageMeter
-from shallotstand.duties.usage_counts import UsageWriter
+from shallotstand.duties.usage_counts import COUNTS_KIND, UsageWriter
 from shallotstand.duties.usage_reports import MAX_REPORT_DELAY_S, UsageReporter
 from shallotstand.standins.memory_documents import MemoryDocuments
 
@@ -263,3 +264,78 @@
         assert (window, {"a": 1}, 8) in system.sink.sent
 
     run(scenario)
+
+
+class FastClock:
+    """Wall-clock time that passes fifty times as fast as the system's."""
+
+    def __init__(self):
+        self._started = time.monotonic()
+
+    def monotonic(self):
+        return 50.0 * (time.monotonic() - self._started)
+
+    def wall(self):
+        return 1_800_000_000.0 + self.monotonic()
+
+
+def test_idle_process_writes_nothing_until_it_counts_again(monkeypatch):
+    # Pattern: many gateways that serve a request now and then. Guards against
+    # a write of each of them in each window, and against a report that does
+    # not wait for one that serves again after a pause.
+    monkeypatch.setattr("shallotstand.duties.usage_counts.WRITE_DELAY_S", 0.0)
+
+    async def scenario():
+        clock, store = FastClock(), MemoryDocuments()
+        meter = UsageMeter(1.0, clock)
+        task = asyncio.create_task(
+            UsageWriter(store, meter, "gateway-0", clock).run()
+        )
+
+        async def record():
+            await asyncio.sleep(0.01)
+            return (await store.get(COUNTS_KIND, "gateway-0")).spec
+
+        await asyncio.sleep(0.1)
+        assert not store.call_counts
+        meter.count_request("a", 0.0)
+        assert not (await record())["is_idle"]
+        while not (await record())["is_idle"]:
+            pass
+        idle = await record()
+        assert sum(c.get("a", 0) for c in idle["windows"].values()) == 1
+        writes = store.call_counts["replace", COUNTS_KIND]
+        await asyncio.sleep(0.2)
+        assert store.call_counts["replace", COUNTS_KIND] == writes
+        meter.count_request("a", 0.0)
+        assert not (await record())["is_idle"]
+        task.cancel()
+
+    asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
+def test_report_does_not_wait_for_an_idle_process():
+    async def scenario(system):
+        first, second = system.writers
+        window = await system.close_window()
+        await second.write(window, is_idle=True)
+        await system.settle()
+        system.meters[0].count_request("a", 0.0)
+        window = await system.close_window(first)
+        await system.settle()
+        assert system.sink.counts_by_window()[window] == [{"a": 1}]
+
+    run(scenario)
+
+
+def test_counts_are_written_again_after_their_document_was_deleted():
+    # Guards against a process that is never heard of again because its counts
+    # were deleted while it was idle.
+    async def scenario(system):
+        writer = system.writers[0]
+        window = system.meters[0].current_window()
+        assert await writer.write(window) is None
+        await system.store.delete(COUNTS_KIND, "gateway-0")
+        assert await writer.write(window) is None
+
+    run(scenario)
