Survive malformed objects in the store

Cause: an exception while an object was applied ended the task that watches, and the process with it; it ended again after each restart. Shown by a test that writes seven malformed objects of each of eight kinds: all four processes stopped within 2 s (registrations of gateways, usage counts).

An object that can't be applied is logged with its kind, name, revision and error, and the watch goes on; usage counts and checkpoints that can't be read are left out with a log line. Ruled out: endpoints, versions and the batch log, which were checked already.

--- a/libs/batches/src/shallotstand/batches/checkpoints.py
+++ b/libs/batches/src/shallotstand/batches/checkpoints.py
@@ -1,6 +1,7 @@
 """Checkpoints of unfinished items, from which other processes resume them."""
 
 import asyncio
+import itertools
 from typing import TypedDict
 
 from absl import logging
@@ -8,7 +9,7 @@
 from shallotstand.core import logs
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
-from shallotstand.documents.protocols import DocumentStore
+from shallotstand.documents.protocols import Document, DocumentStore
 from shallotstand.documents.single_writer_document import SingleWriterDocument
 
 PROGRESS_KIND = "batch-progress"
@@ -115,15 +116,12 @@
         if isinstance(listing, Failure):
             return listing
         longest: dict[str, Progress] = {}
-        for document in listing.documents:
-            for item_id, record in document.spec.items():
-                progress = Progress()
-                progress.events = record["events"]
-                progress.versions = record["versions"]
-                progress.is_complete = record["is_whole"]
-                known = longest.get(item_id)
-                if known is None or len(known.events) < len(progress.events):
-                    longest[item_id] = progress
+        for item_id, progress in itertools.chain.from_iterable(
+            map(_parse_document, listing.documents)
+        ):
+            known = longest.get(item_id)
+            if known is None or len(known.events) < len(progress.events):
+                longest[item_id] = progress
         return longest
 
     def _records(self) -> dict[str, ProgressRecord]:
@@ -146,3 +144,29 @@
                 is_whole=progress.is_complete,
             )
         return records
+
+
+def _parse_document(document: Document) -> list[tuple[str, Progress]]:
+    """Returns the texts in a checkpoint by item; none if it can't be read."""
+    try:
+        return [
+            (item_id, _parse_record(record))
+            for item_id, record in document.spec.items()
+        ]
+    except (AttributeError, KeyError, TypeError) as error:
+        logs.event(
+            logging.ERROR,
+            "Checkpoint can't be read",
+            name=document.name,
+            revision=document.revision,
+            error=repr(error),
+        )
+        return []
+
+
+def _parse_record(record: ProgressRecord) -> Progress:
+    progress = Progress()
+    progress.events = list(record["events"])
+    progress.versions = list(record["versions"])
+    progress.is_complete = bool(record["is_whole"])
+    return progress
--- a/libs/documents/src/shallotstand/documents/watcher.py
+++ b/libs/documents/src/shallotstand/documents/watcher.py
@@ -176,7 +176,19 @@
             self._documents_by_name[name] = change.document._replace(
                 spec=None, status=None
             )
-        self._on_change(change)
+        try:
+            self._on_change(change)
+        except Exception as error:
+            # One object must not stop the watch: it would do so again after
+            # each restart, in every process.
+            logs.event(
+                logging.ERROR,
+                "Change could not be applied",
+                kind=self._kind,
+                name=name,
+                revision=change.document.revision,
+                error=repr(error),
+            )
 
     def _record_failure(self, failure: Failure) -> None:
         if self.failing_since is not None:
--- a/libs/duties/src/shallotstand/duties/usage_counts.py
+++ b/libs/duties/src/shallotstand/duties/usage_counts.py
@@ -8,7 +8,7 @@
 from shallotstand.core.clock import Clock
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.usage import UsageMeter
-from shallotstand.documents.protocols import DocumentStore
+from shallotstand.documents.protocols import Document, DocumentStore
 from shallotstand.documents.single_writer_document import SingleWriterDocument
 
 COUNTS_KIND = "usage-counts"
@@ -110,6 +110,34 @@
         return await self._document.write(record)
 
 
+def parse_counts(document: Document) -> CountsRecord | None:
+    """Returns the counts in a document; None if it can't be read."""
+    spec = document.spec
+    try:
+        return CountsRecord(
+            closed_window=int(spec["closed_window"]),
+            windows={
+                str(int(window)): {
+                    str(account): int(count)
+                    for account, count in counts.items()
+                }
+                for window, counts in spec["windows"].items()
+            },
+            has_stopped=bool(spec["has_stopped"]),
+            # Earlier versions of this program wrote in each window.
+            is_idle=bool(spec.get("is_idle")),
+        )
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
+        logs.event(
+            logging.ERROR,
+            "Usage counts can't be read",
+            name=document.name,
+            revision=document.revision,
+            error=repr(error),
+        )
+        return None
+
+
 def _log_failure(message: str, failure: Failure) -> None:
     logs.event(
         logging.WARNING,
--- a/libs/duties/src/shallotstand/duties/usage_reports.py
+++ b/libs/duties/src/shallotstand/duties/usage_reports.py
@@ -12,7 +12,11 @@
 from shallotstand.core.failure import Failure
 from shallotstand.documents.protocols import Document, DocumentStore
 from shallotstand.duties.lease import DutyLease
-from shallotstand.duties.usage_counts import COUNTS_KIND, CountsRecord
+from shallotstand.duties.usage_counts import (
+    COUNTS_KIND,
+    CountsRecord,
+    parse_counts,
+)
 
 LEDGER_KIND = "usage-ledger"
 LEDGER_NAME = "main"
@@ -154,7 +158,8 @@
         settled_at = self._clock.wall() - MAX_REPORT_DELAY_S
         last_settled_window = int(settled_at // self._window_s) - 1
         counted_windows = itertools.chain.from_iterable(
-            document.spec["windows"] for document in listing.documents
+            record["windows"]
+            for record in _records_by_name(listing.documents).values()
         )
         last_empty_window = min(
             (int(window) - 1 for window in counted_windows),
@@ -171,7 +176,8 @@
         listing = await self._store.list(COUNTS_KIND)
         if isinstance(listing, Failure):
             return listing
-        records = [document.spec for document in listing.documents]
+        records_by_name = _records_by_name(listing.documents)
+        records = records_by_name.values()
         missing = sum(_is_missing(record, window) for record in records)
         if missing and age_s < MAX_REPORT_DELAY_S:
             return None
@@ -191,7 +197,7 @@
             missing=missing,
             age_s=round(age_s, 3),
         )
-        await self._delete_stale_counts(listing.documents, window)
+        await self._delete_stale_counts(records_by_name, window)
         return await self._send_unsent_reports()
 
     async def _store_report(
@@ -243,14 +249,24 @@
         return None
 
     async def _delete_stale_counts(
-        self, documents: tuple[Document, ...], window: int
+        self, records_by_name: dict[str, CountsRecord], window: int
     ) -> None:
-        for document in documents:
-            if (
-                document.spec["closed_window"]
-                < window - COUNTS_RETENTION_WINDOWS
-            ):
-                await self._store.delete(COUNTS_KIND, document.name)
+        for name, record in records_by_name.items():
+            if record["closed_window"] < window - COUNTS_RETENTION_WINDOWS:
+                await self._store.delete(COUNTS_KIND, name)
+
+
+def _records_by_name(
+    documents: tuple[Document, ...],
+) -> dict[str, CountsRecord]:
+    parsed_by_name = {
+        document.name: parse_counts(document) for document in documents
+    }
+    return {
+        name: record
+        for name, record in parsed_by_name.items()
+        if record is not None
+    }
 
 
 def _is_missing(record: CountsRecord, window: int) -> bool:
@@ -258,6 +274,6 @@
 
     A process counts as running if it has written those of the previous window.
     """
-    if record["has_stopped"] or record.get("is_idle"):
+    if record["has_stopped"] or record["is_idle"]:
         return False
     return record["closed_window"] == window - 1
--- a/libs/peers/src/shallotstand/peers/registry.py
+++ b/libs/peers/src/shallotstand/peers/registry.py
@@ -76,7 +76,11 @@
         await self._store.delete(GATEWAYS_KIND, instance)
 
     def receive_change(self, change: Change) -> None:
-        """Applies a change of a registration."""
+        """Applies a change of a registration.
+
+        Raises:
+          KeyError, TypeError, ValueError: The registration is malformed.
+        """
         name, spec = change.document.name, change.document.spec
         if name == self._own_address.instance:
             return
@@ -84,7 +88,7 @@
             self.addresses_by_instance.pop(name, None)
             return
         self.addresses_by_instance[name] = PeerAddress(
-            name, spec["process_id"], spec["host"], spec["port"]
+            name, str(spec["process_id"]), str(spec["host"]), int(spec["port"])
         )
 
     async def _replace(self, record: GatewayRecord):
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -182,6 +182,54 @@
     run_scenario(directory, scenario)
 
 
+# What other programs write, and what this one writes to the store itself.
+KINDS = (
+    "servers",
+    "versions",
+    "retirements",
+    "gateways",
+    "batch-log",
+    "batch-results",
+    "batch-progress",
+    "usage-counts",
+)
+MALFORMED = (
+    None,
+    "text",
+    7,
+    [],
+    {},
+    {"service": 7, "address": None, "version": "x", "model": 3, "windows": 1},
+    {"address": "no port", "slots": -1, "state": [], "models": {"a": 1}},
+)
+
+
+def test_malformed_objects_end_no_process(directory):
+    # Guards against an unreadable object that ends every process that reads
+    # it, again after each restart.
+    async def scenario(fleet):
+        for kind in KINDS:
+            for number, spec in enumerate(MALFORMED):
+                await fleet.platform.put(kind, f"odd-{number}.0", spec)
+        await asyncio.sleep(WINDOW_S + 2.5)
+        machines = (*fleet.gateways, *fleet.keepers)
+        assert [m.process.returncode for m in machines] == [None] * 4
+        for machine in machines:
+            log = machine.log_path.read_text()
+            assert "A task has failed" not in log, machine.node
+        first, second = fleet.gateways
+        assert (await submit_batch(fleet, first))[0] == 202
+        check_results(fleet, await read_all_results(fleet, second))
+        await fleet.platform.put(
+            "versions", "model", {"model": "model", "version": 2}
+        )
+        await fleet.wait_until(
+            lambda: all(engine.version == 2 for engine in fleet.engines)
+        )
+
+    run_scenario(directory, scenario)
+
+
 def test_retirement_of_keeper_is_completed_by_other_keeper(directory):
     async def scenario(fleet):
         for keeper in fleet.keepers:
