Soak: the order of duty calls where nobody checks fencing tokens

The stand-ins of the platform and the engines record each order and report as it arrives and can leave fencing tokens unchecked, which runs with odd seeds do. The soak checks that tokens never decrease and that no two holders act by turns within the interval; calls under way when their sender was paused or cut off are allowed for 0.3 s. Two planted violations are found, one allowed case is passed.

--- a/apps/standins/src/shallotstand/standins/fleet.py
+++ b/apps/standins/src/shallotstand/standins/fleet.py
@@ -15,6 +15,8 @@
 
 HOST = "fleet.example"
 WINDOW_S = 2
+# Seconds within which two instances must not perform the duties by turns.
+TURN_INTERVAL_S = 3.0
 START_TIMEOUT_S = 15.0
 
 BOOT_TEMPLATE = """
@@ -28,7 +30,7 @@
 grace_s = 8
 status_ttl_s = 120
 report_window_s = {window}
-lease_ms = 3000
+lease_ms = {turn_interval_ms}
 [platform]
 address = "{platform}"
 [cloud]
@@ -70,6 +72,7 @@
                 peers=self.peer_address.port,
                 listen=listen,
                 window=WINDOW_S,
+                turn_interval_ms=int(TURN_INTERVAL_S * 1000),
                 platform=platform_address,
             )
         )
@@ -112,9 +115,25 @@
 class Fleet:
     """Platform, engines, gateways and keepers on the loopback interface."""
 
-    def __init__(self, directory: pathlib.Path, gateways: int = 2):
-        self.platform = FleetPlatform()
-        self.engines = [FleetEngine("e1"), FleetEngine("e2")]
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        gateways: int = 2,
+        checks_fences: bool = True,
+    ):
+        """Creates a deployment.
+
+        Args:
+          directory: Where settings and logs are written.
+          gateways: Number of gateways.
+          checks_fences: Whether the platform and the engines refuse calls with
+            outdated fencing tokens.
+        """
+        self.platform = FleetPlatform(checks_fences)
+        self.engines = [
+            FleetEngine(name, checks_fences=checks_fences)
+            for name in ("e1", "e2")
+        ]
         self.plain_engine = FleetEngine("p1", pause_s=0.01)
         self.gateways = [
             Machine(f"gateway-{n}", "gateway", directory)
--- a/apps/standins/src/shallotstand/standins/fleet_engine.py
+++ b/apps/standins/src/shallotstand/standins/fleet_engine.py
@@ -4,6 +4,7 @@
 
 import orjson
 from aiohttp import web
+from shallotstand.standins.duty_calls import DutyCallLog
 
 _ATTEMPT_ID_HEADER = "X-Shallotstand-Attempt-Id"
 _SEAL_HEADER = "X-Shallotstand-Server-Seal"
@@ -18,20 +19,29 @@
       version: Weight version of its model.
       started_requests: Identifiers of the requests that it started, in order.
       accepted_orders: Orders that it accepted: holder, fencing token, version.
+      duty_calls: All orders that arrived.
     """
 
-    def __init__(self, name: str, event_count: int = 20, pause_s: float = 0.05):
+    def __init__(
+        self,
+        name: str,
+        event_count: int = 20,
+        pause_s: float = 0.05,
+        checks_fences: bool = True,
+    ):
         """Creates an engine.
 
         Args:
           name: Its identifier.
           event_count: Number of events in each text.
           pause_s: Seconds before each event, and before a plain response.
+          checks_fences: Whether it refuses orders with outdated tokens.
         """
         self.name = name
         self.version = 1
         self.started_requests: list[str] = []
         self.accepted_orders: list[tuple[str, int, int]] = []
+        self.duty_calls = DutyCallLog(checks_fences)
         self._event_count = event_count
         self._pause_s = pause_s
         self._runner: web.AppRunner | None = None
@@ -109,9 +119,10 @@
 
     async def _handle_order(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
+        is_accepted = self.duty_calls.accept(body["holder"], body["fence"])
         if body["precondition"] != len(self.accepted_orders):
             return web.Response(status=409)
-        if any(body["fence"] < fence for _, fence, _ in self.accepted_orders):
+        if not is_accepted:
             return web.Response(status=412)
         self.accepted_orders.append(
             (body["holder"], body["fence"], body["version"])
--- a/apps/standins/src/shallotstand/standins/fleet_platform.py
+++ b/apps/standins/src/shallotstand/standins/fleet_platform.py
@@ -7,6 +7,7 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.documents.protocols import Document
+from shallotstand.standins.duty_calls import DutyCallLog
 from shallotstand.standins.memory_documents import MemoryDocuments
 
 _STATUS_BY_CODE = {
@@ -25,11 +26,18 @@
       documents: The document store that is served.
       reports: Usage reports in the order of their receipt: window, counts,
         holder, fencing token.
+      duty_calls: All usage reports that arrived, also refused ones.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, checks_fences: bool = True) -> None:
+        """Creates a platform.
+
+        Args:
+          checks_fences: Whether it refuses reports with outdated tokens.
+        """
         self.documents = MemoryDocuments()
         self.reports: list[tuple[int, dict[str, int], str, int]] = []
+        self.duty_calls = DutyCallLog(checks_fences)
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> str:
@@ -154,9 +162,9 @@
     async def _receive_report(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
         fence = int(request.headers["X-Shallotstand-Fence-Token"])
-        if any(fence < report[3] for report in self.reports):
-            return web.Response(status=409)
         holder = request.headers["X-Shallotstand-Duty-Holder"]
+        if not self.duty_calls.accept(holder, fence):
+            return web.Response(status=409)
         self.reports.append((body["window"], body["counts"], holder, fence))
         return _json_response({})
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -1,16 +1,38 @@
 """Checks of the guarantees against what clients and the platform observed."""
 
 import collections
+import itertools
 from collections.abc import Iterator
 
-from shallotstand.standins.fleet import Fleet
+from shallotstand.standins.duty_calls import DutyCall
+from shallotstand.standins.fleet import TURN_INTERVAL_S, Fleet
 
 from soak.load import ITEMS_PER_BATCH, LoadGenerator
 
+# Calls that were under way when their sender was paused or cut off may arrive
+# until this long after it has resumed.
+RESUMPTION_SLACK_S = 0.3
 
-def find_violations(fleet: Fleet, load: LoadGenerator) -> list[str]:
-    """Returns a description of every violated guarantee."""
+
+def find_violations(
+    fleet: Fleet,
+    load: LoadGenerator,
+    resumed_at: list[tuple[str, float]],
+) -> list[str]:
+    """Returns a description of every violated guarantee.
+
+    Args:
+      fleet: The deployment.
+      load: What the callers received.
+      resumed_at: Machines that resumed after a pause or a disturbance of their
+        links, with the monotonic time.
+    """
+    receivers = (fleet.platform, *fleet.engines)
     return [
+        *itertools.chain.from_iterable(
+            _call_order_violations(receiver.duty_calls.calls, resumed_at)
+            for receiver in receivers
+        ),
         *_plain_call_violations(fleet, load),
         *load.conflicts,
         *_batch_violations(fleet, load),
@@ -75,3 +97,36 @@
         for holder, fence, _ in engine.accepted_orders:
             if holder_by_fence.setdefault(fence, holder) != holder:
                 yield f"fencing token {fence}: used by two holders"
+
+
+def _call_order_violations(
+    calls: list[DutyCall], resumed_at: list[tuple[str, float]]
+) -> Iterator[str]:
+    """Yields calls out of order, whether their receiver refused them or not."""
+    highest_token = 0
+    last_call_by_holder: dict[str, float] = {}
+    previous_holder = ""
+    for call in calls:
+        if _has_just_resumed(call, resumed_at):
+            continue
+        if call.fencing_token < highest_token:
+            yield f"{call}: arrived after fencing token {highest_token}"
+        highest_token = max(highest_token, call.fencing_token)
+        last_call_at = last_call_by_holder.get(call.holder)
+        if (
+            previous_holder not in ("", call.holder)
+            and last_call_at is not None
+            and call.arrived_at - last_call_at < TURN_INTERVAL_S
+        ):
+            yield f"{call}: in turn with {previous_holder}"
+        last_call_by_holder[call.holder] = call.arrived_at
+        previous_holder = call.holder
+
+
+def _has_just_resumed(
+    call: DutyCall, resumed_at: list[tuple[str, float]]
+) -> bool:
+    return any(
+        node == call.holder and 0 <= call.arrived_at - at <= RESUMPTION_SLACK_S
+        for node, at in resumed_at
+    )
--- a/soak/run.py
+++ b/soak/run.py
@@ -52,7 +52,8 @@
 ) -> Outcome:
     """Runs the programs under the faults of a seed and checks the results."""
     started = time.monotonic()
-    async with Fleet(directory, gateways=3) as fleet:
+    checks_fences = seed % 2 == 0
+    async with Fleet(directory, 3, checks_fences) as fleet:
         injector = FaultInjector(fleet, seed)
         await injector.restart_behind_proxies()
         events = draw_faults(seed, faulty_s, len(injector.machines))
@@ -66,7 +67,7 @@
             for event in events:
                 group.create_task(injector.inject(event))
         await injector.await_recovery(load)
-        violations = find_violations(fleet, load)
+        violations = find_violations(fleet, load, injector.resumed_at)
         injector.close()
     return Outcome(
         seed,
@@ -79,13 +80,20 @@
 
 
 class FaultInjector:
-    """Injects faults into the processes, their connections and the store."""
+    """Injects faults into the processes, their connections and the store.
+
+    Attributes:
+      machines: The machines whose processes are disturbed.
+      resumed_at: Machines that were paused or whose link was disturbed, with
+        the monotonic time at which that ended.
+    """
 
     def __init__(self, fleet: Fleet, seed: int):
         self._fleet = fleet
         self._seed = seed
         self._proxies: list[Proxy] = []
         self._active_outages = 0
+        self.resumed_at: list[tuple[str, float]] = []
         self.machines: list[Machine] = [*fleet.gateways, *fleet.keepers]
 
     async def restart_behind_proxies(self) -> None:
@@ -161,6 +169,10 @@
         await asyncio.sleep(event.duration_s)
         proxy.set_mode(Mode.CUT)
         proxy.set_mode(Mode.PASS)
+        self._record_resumption(event.target)
+
+    def _record_resumption(self, target: int) -> None:
+        self.resumed_at.append((self.machines[target].node, time.monotonic()))
 
     async def _signal_process(self, event: FaultEvent) -> None:
         if event.fault is Fault.PAUSE:
@@ -169,6 +181,7 @@
                 process.send_signal(signal.SIGSTOP)
                 await asyncio.sleep(event.duration_s)
                 process.send_signal(signal.SIGCONT)
+                self._record_resumption(event.target)
             return
         signal_number = (
             signal.SIGKILL if event.fault is Fault.KILL else signal.SIGTERM
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,10 +1,12 @@
 """The soak test: a short seeded run, and each check on a planted violation."""
 
 import asyncio
+import itertools
 import types
 
 import orjson
 import pytest
+from shallotstand.standins.duty_calls import DutyCall, DutyCallLog
 from shallotstand.standins.fleet_engine import FleetEngine
 
 from soak.checks import find_violations
@@ -46,7 +48,8 @@
         plain_engine=FleetEngine("p1"),
         engines=[FleetEngine("e1"), FleetEngine("e2")],
         platform=types.SimpleNamespace(
-            reports=[(1, {"a": 1}, "k1", 1), (2, {}, "k2", 2)]
+            reports=[(1, {"a": 1}, "k1", 1), (2, {}, "k2", 2)],
+            duty_calls=DutyCallLog(checks_fences=False),
         ),
     )
 
@@ -77,7 +80,17 @@
 
 
 def test_correct_run_has_no_violations(fleet, load):
-    assert find_violations(fleet, load) == []
+    assert find_violations(fleet, load, []) == []
+
+
+def plant_calls(fleet, *calls):
+    fleet.platform.duty_calls.calls += itertools.starmap(DutyCall, calls)
+
+
+def test_call_under_way_when_its_sender_was_paused_is_allowed(fleet, load):
+    plant_calls(fleet, (0.0, "k1", 1), (5.0, "k2", 2), (6.2, "k1", 1))
+    assert find_violations(fleet, load, [("k1", 6.0)]) == []
+    assert len(find_violations(fleet, load, [("k1", 5.5)])) == 1
 
 
 def _change_result(load, **fields):
@@ -131,11 +144,21 @@
             "two holders",
         ),
         (lambda _, load: load.conflicts.append("position 1"), "position 1"),
+        (
+            lambda f, _: plant_calls(f, (0.0, "k1", 2), (9.0, "k2", 1)),
+            "arrived after fencing token 2",
+        ),
+        (
+            lambda f, _: plant_calls(
+                f, (0.0, "k1", 1), (1.0, "k2", 2), (2.9, "k1", 3)
+            ),
+            "in turn with k2",
+        ),
     ],
 )
 def test_planted_violation_is_found(fleet, load, plant, expected_text):
     plant(fleet, load)
-    found = find_violations(fleet, load)
+    found = find_violations(fleet, load, [])
     assert len(found) == 1
     assert expected_text in found[0]
 
