--- a/apps/standins/src/shallotstand/standins/fleet.py
+++ b/apps/standins/src/shallotstand/standins/fleet.py
@@ -146,6 +146,18 @@
         self.session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> "Fleet":
+        self.session = aiohttp.ClientSession()
+        try:
+            await self._start()
+        except BaseException:
+            await self._stop()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self._stop()
+
+    async def _start(self) -> None:
         self.address = await self.platform.start()
         await self.platform.put("config", "main", configuration(1))
         for engine in (*self.engines, self.plain_engine):
@@ -160,10 +172,9 @@
                 for machine in (*self.gateways, *self.keepers)
             )
         )
-        self.session = aiohttp.ClientSession()
-        return self
 
-    async def __aexit__(self, *_: object) -> None:
+    async def _stop(self) -> None:
+        """Ends all processes, also those of a start that has failed."""
         await self.session.close()
         for machine in (*self.gateways, *self.keepers):
             if machine.process and machine.process.returncode is None:
--- a/apps/standins/src/shallotstand/standins/fleet_engine.py
+++ b/apps/standins/src/shallotstand/standins/fleet_engine.py
@@ -67,7 +67,8 @@
 
     async def stop(self) -> None:
         """Stops listening."""
-        await self._runner.cleanup()
+        if self._runner is not None:
+            await self._runner.cleanup()
 
     def item_text(self, item_id: str) -> str:
         """Returns the complete text that is generated for an item."""
--- a/apps/standins/src/shallotstand/standins/fleet_platform.py
+++ b/apps/standins/src/shallotstand/standins/fleet_platform.py
@@ -60,7 +60,8 @@
 
     async def stop(self) -> None:
         """Stops listening."""
-        await self._runner.cleanup()
+        if self._runner is not None:
+            await self._runner.cleanup()
 
     async def put(self, kind: str, name: str, spec: Any) -> None:
         """Creates or replaces an object on behalf of a platform user."""
