--- a/soak/checks.py
+++ b/soak/checks.py
@@ -24,7 +24,7 @@
     Args:
       fleet: The deployment.
       load: What the callers received.
-      resumed_at: Machines that resumed after a pause or a disturbance of their
+      resumed_at: Machines that resumed after a pause or a fault of their
         links, with the monotonic time.
     """
     receivers = (fleet.platform, *fleet.engines)
--- a/soak/run.py
+++ b/soak/run.py
@@ -84,7 +84,7 @@
 
     Attributes:
       machines: The machines whose processes are disturbed.
-      resumed_at: Machines that were paused or whose link was disturbed, with
+      resumed_at: Machines that were paused or whose link had a fault, with
         the monotonic time at which that ended.
     """
 
