Log and count what tells the hypotheses about limits apart

Gateways log each change of the limit that an endpoint states in its responses, refusals included, and count the requests that they send to each endpoint by outcome. Nothing acts on a limit yet.

A response that was sent for before the limit was stated does not end it, a malformed value is logged and passed over, and so is that of a response from another engine at the same address.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -24,13 +24,17 @@
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.failure import Failure
 from shallotstand.core.in_progress_counter import InProgressCounter
+from shallotstand.dispatch.stated_limits import StatedLimits
 from shallotstand.documents.protocols import Change
 from shallotstand.documents.watcher import WATCH_TIMEOUT_S, DocumentWatcher
 from shallotstand.duties.usage_counts import UsageWriter
 from shallotstand.gateway.batching import BatchSubsystem, ProcessIdentity
 from shallotstand.gateway.serving import RequestServing
 from shallotstand.link.gateway_messages import EndpointUse, Presence
-from shallotstand.observe.event_metrics import make_store_call_counter
+from shallotstand.observe.event_metrics import (
+    make_endpoint_request_counter,
+    make_store_call_counter,
+)
 from shallotstand.observe.metrics import Metrics
 from shallotstand.peers.registry import GATEWAYS_KIND
 from shallotstand.peers.shared_store import SharedStore
@@ -72,7 +76,11 @@
             # Submissions are large, and few processes need them.
             kinds_without_content=(BATCH_LOG_KIND,),
         )
-        self._client = HttpEndpointClient()
+        self._client = HttpEndpointClient(
+            StatedLimits(self._clock),
+            self._clock,
+            make_endpoint_request_counter(metrics),
+        )
         self._serving = RequestServing(boot, self._client, self._clock)
         self._batch_subsystem = BatchSubsystem(
             ProcessIdentity(boot, process_id),
--- a/libs/dispatch/src/shallotstand/dispatch/endpoint_client.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoint_client.py
@@ -127,6 +127,23 @@
         ...
 
 
+class LimitObserver(Protocol):
+    """Learns the limits that endpoints state in their responses."""
+
+    def record_response(
+        self, endpoint_id: str, requests_per_s: float | None, sent_at: float
+    ) -> None:
+        """Records what a response says about the limit of its endpoint.
+
+        Args:
+          endpoint_id: The endpoint.
+          requests_per_s: Requests per second that it accepts from all
+            processes together; None if it states no limit.
+          sent_at: Monotonic time in seconds at which the request was sent.
+        """
+        ...
+
+
 class EndpointClient(Protocol):
     """Sends requests to endpoints.
 
--- a/libs/observe/src/shallotstand/observe/event_metrics.py
+++ b/libs/observe/src/shallotstand/observe/event_metrics.py
@@ -83,6 +83,23 @@
     logs.add_event_listener(record_event)
 
 
+def make_endpoint_request_counter(
+    metrics: Metrics,
+) -> Callable[[str, str], None]:
+    """Returns a function that counts a request by endpoint and outcome."""
+    requests = metrics.counter(
+        "endpoint_requests",
+        "Requests sent to endpoints, refused ones included.",
+        "endpoint",
+        "outcome",
+    )
+
+    def count(endpoint: str, outcome: str) -> None:
+        requests.labels(endpoint, outcome).inc()
+
+    return count
+
+
 def make_store_call_counter(
     metrics: Metrics,
 ) -> Callable[[str, str, object], None]:
--- a/tests/adapter/test_endless_answers.py
+++ b/tests/adapter/test_endless_answers.py
@@ -5,7 +5,6 @@
 import pytest
 from shallotstand.adapter.boot import TcpAddress
 from shallotstand.adapter.engine_control import HttpEngineControl
-from shallotstand.adapter.engines import HttpEndpointClient
 from shallotstand.adapter.store import PlatformStore
 from shallotstand.adapter.usage_sink import PlatformUsageSink
 from shallotstand.core.failure import Failure
@@ -13,6 +12,8 @@
 from shallotstand.standins.endless_http import EndlessPart, EndlessServer
 from shallotstand.standins.memory_engines import make_endpoint
 
+from .conftest import make_client
+
 BUDGET_S = 1.5
 # A response that is refused for its size is given up long before its deadline.
 REFUSED_WITHIN_S = 1.0
@@ -26,7 +27,7 @@
 
 
 async def request_endpoint(address):
-    client = HttpEndpointClient()
+    client = make_client()
     outcome = await client.send_request(
         make_endpoint("e1", address=address), REQUEST, BUDGET_S
     )
@@ -35,7 +36,7 @@
 
 
 async def read_stream(address):
-    client = HttpEndpointClient()
+    client = make_client()
     stream = await client.open_stream(
         make_endpoint("e1", address=address), REQUEST, BUDGET_S
     )
