--- a/apps/standins/src/shallotstand/standins/fleet_engine.py
+++ b/apps/standins/src/shallotstand/standins/fleet_engine.py
@@ -5,6 +5,7 @@
 import orjson
 from aiohttp import web
 from shallotstand.standins.duty_calls import DutyCallLog
+from shallotstand.standins.request_limit import RequestLimit
 
 _ATTEMPT_ID_HEADER = "X-Shallotstand-Attempt-Id"
 _SEAL_HEADER = "X-Shallotstand-Server-Seal"
@@ -20,6 +21,7 @@
       started_requests: Identifiers of the requests that it started, in order.
       accepted_orders: Orders that it accepted: holder, fencing token, version.
       duty_calls: All orders that arrived.
+      limit: The limit that it states in its responses, and what arrived.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         self.started_requests: list[str] = []
         self.accepted_orders: list[tuple[str, int, int]] = []
         self.duty_calls = DutyCallLog(checks_fences)
+        self.limit = RequestLimit()
         self._event_count = event_count
         self._pause_s = pause_s
         self._runner: web.AppRunner | None = None
@@ -78,9 +81,11 @@
 
     async def _handle_plain(self, request: web.Request) -> web.Response:
         request_id = request.headers[_ATTEMPT_ID_HEADER]
+        limit_headers = self.limit.record_arrival(request_id)
         self.started_requests.append(request_id)
         await asyncio.sleep(self._pause_s)
         headers = {
+            **limit_headers,
             _ATTEMPT_ID_HEADER: request_id,
             _SEAL_HEADER: f"seal-{request_id}",
         }
@@ -88,9 +93,11 @@
 
     async def _handle_stream(self, request: web.Request) -> web.StreamResponse:
         request_id = request.headers[_ATTEMPT_ID_HEADER]
+        limit_headers = self.limit.record_arrival(request_id)
         self.started_requests.append(request_id)
         response = web.StreamResponse(
             headers={
+                **limit_headers,
                 _ATTEMPT_ID_HEADER: request_id,
                 _VERSIONS_HEADER: str(self.version),
             }
