Share the limit that an endpoint states among all gateways

Callers saw: an engine in need got every request that its speed attracted, 144 plain ones in 4 s where 17 are allowed, and 32 of items.

Cause: no process read the limit (hypothesis 1). What gateways tell each other of an endpoint had no rate in it either, so that obeying the limit in each process would have multiplied it by the number of gateways (hypothesis 2). Refusals are not needed to bring it about (hypothesis 3): the stand-in refused nothing.

Change: the client reports each response's limit. Gateways tell each other the newest statement and which endpoints they compete for, in the presence that they already send, and at once when a limit changes. Each spends an equal share of the limit from a token bucket that starts empty. At most 3 + 1.5 R gateways share a limit of R requests a second, in turns of 16 s. Where nothing is left, requests go to another endpoint, items wait in the pool, and others are refused at once as not run (code 1020) with the time until the next share as Retry-After.

Weighed: one gateway that hands out permits (exact, but a message for each request, and nothing is sent while that gateway is frozen); a count of recent requests in the presence (too much is sent within its delay); a fixed share of every registered gateway (gateways without work for the engine would leave theirs unused).

--- a/apps/gateway/src/shallotstand/gateway/batching.py
+++ b/apps/gateway/src/shallotstand/gateway/batching.py
@@ -88,6 +88,9 @@
         serving.endpoint_registry.set_peer_states_source(
             self._mesh.states_by_endpoint
         )
+        serving.endpoint_registry.request_shares.subscribe(
+            self._mesh.announce_change
+        )
         self._checkpoints = Checkpoints(store, boot.instance)
         pool = SlotPool(serving.endpoint_registry)
         # Slots that a peer releases are assigned to items that wait in this
--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -6,7 +6,6 @@
 from absl import logging
 from shallotstand.adapter import decode, wire_names
 from shallotstand.adapter.boot import BootSettings
-from shallotstand.adapter.engines import HttpEndpointClient
 from shallotstand.adapter.following import receive_endpoint_change
 from shallotstand.adapter.http_frontend import (
     HttpFrontend,
@@ -24,18 +23,18 @@
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.failure import Failure
 from shallotstand.core.in_progress_counter import InProgressCounter
-from shallotstand.dispatch.stated_limits import StatedLimits
 from shallotstand.documents.protocols import Change
 from shallotstand.documents.watcher import WATCH_TIMEOUT_S, DocumentWatcher
 from shallotstand.duties.usage_counts import UsageWriter
 from shallotstand.gateway.batching import BatchSubsystem, ProcessIdentity
 from shallotstand.gateway.serving import RequestServing
-from shallotstand.link.gateway_messages import EndpointUse, Presence
+from shallotstand.link.gateway_messages import Presence
 from shallotstand.observe.event_metrics import (
     make_endpoint_request_counter,
     make_store_call_counter,
 )
 from shallotstand.observe.metrics import Metrics
+from shallotstand.peers.endpoint_uses import make_use
 from shallotstand.peers.registry import GATEWAYS_KIND
 from shallotstand.peers.shared_store import SharedStore
 
@@ -76,12 +75,12 @@
             # Submissions are large, and few processes need them.
             kinds_without_content=(BATCH_LOG_KIND,),
         )
-        self._client = HttpEndpointClient(
-            StatedLimits(self._clock),
-            self._clock,
+        self._serving = RequestServing(
+            boot,
+            process_id,
             make_endpoint_request_counter(metrics),
+            self._clock,
         )
-        self._serving = RequestServing(boot, self._client, self._clock)
         self._batch_subsystem = BatchSubsystem(
             ProcessIdentity(boot, process_id),
             self._store,
@@ -151,7 +150,7 @@
         for task in tasks:
             task.cancel()
         await readiness_server.close()
-        await self._client.close()
+        await self._serving.client.close()
         await self._platform_store.close()
         logs.event(logging.INFO, "Stopped")
 
@@ -220,11 +219,7 @@
             self._process_id,
             self._is_ready(),
             tuple(
-                EndpointUse(
-                    endpoint_id,
-                    state.running,
-                    int((state.seconds_per_unit or 0.0) * 1e6),
-                )
+                make_use(endpoint_id, state, self._clock.monotonic())
                 for endpoint_id, state in states_by_id.items()
             ),
             self._batch_subsystem.claimed_batch_ids(),
--- a/apps/gateway/src/shallotstand/gateway/serving.py
+++ b/apps/gateway/src/shallotstand/gateway/serving.py
@@ -1,10 +1,11 @@
 """Serves callers' requests in a gateway."""
 
 import random
+from collections.abc import Callable
 
 from shallotstand.adapter.boot import BootSettings
+from shallotstand.adapter.engines import HttpEndpointClient
 from shallotstand.core.clock import Clock
-from shallotstand.dispatch.endpoint_client import EndpointClient
 from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.plain import UnaryDispatcher
 from shallotstand.dispatch.request_handler import RequestHandler
@@ -23,17 +24,31 @@
     """
 
     def __init__(
-        self, boot: BootSettings, client: EndpointClient, clock: Clock
+        self,
+        boot: BootSettings,
+        process_id: str,
+        count_request: Callable[[str, str], None],
+        clock: Clock,
     ):
-        self.client = client
-        self.endpoint_registry = EndpointRegistry(boot.zone, clock)
+        """Creates the components of a process.
+
+        Args:
+          boot: Settings of the instance.
+          process_id: Identifier of the process.
+          count_request: Counts a request by endpoint and outcome.
+          clock: Source of time.
+        """
+        self.endpoint_registry = EndpointRegistry(boot.zone, clock, process_id)
+        self.client = HttpEndpointClient(
+            self.endpoint_registry, clock, count_request
+        )
         self.unary_dispatcher = UnaryDispatcher(
-            self.endpoint_registry, client, clock, random.Random()
+            self.endpoint_registry, self.client, clock, random.Random()
         )
         self.usage_meter = UsageMeter(boot.usage_window_s, clock)
         self.request_handler = RequestHandler(
             self.endpoint_registry,
-            client,
+            self.client,
             self.unary_dispatcher,
             self.usage_meter,
             clock,
--- a/libs/core/src/shallotstand/core/codes.py
+++ b/libs/core/src/shallotstand/core/codes.py
@@ -35,6 +35,7 @@
     DUPLICATE_ATTEMPT = 1017
     SUSPECT_BUSY = 1018
     DEADLINE_PASSED = 1019
+    ENDPOINTS_AT_LIMIT = 1020
 
     ANSWER_CUT = 2001
     LINK_LOST = 2002
@@ -164,6 +165,9 @@
     ResultCode.DEADLINE_PASSED: CodeInfo(
         504, "The deadline passed before the request was started."
     ),
+    ResultCode.ENDPOINTS_AT_LIMIT: CodeInfo(
+        503, "All endpoints of the service get as many requests as they accept."
+    ),
     ResultCode.ANSWER_CUT: CodeInfo(
         502, "The endpoint's response ended early; the outcome is unknown."
     ),
--- a/libs/core/src/shallotstand/core/failure.py
+++ b/libs/core/src/shallotstand/core/failure.py
@@ -32,11 +32,13 @@
       reason: Human-readable explanation; it contains no key or prompt text.
       details: All errors, if the check can find several; `reason` may then
         only summarize them.
+      retry_after_s: Seconds after which the caller may succeed; 0 if unknown.
     """
 
     code: ResultCode
     reason: str
     details: tuple[ErrorDetail, ...] = ()
+    retry_after_s: float = 0.0
 
     @property
     def code_info(self) -> CodeInfo:
--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -2,7 +2,7 @@
 
 import collections
 import itertools
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 from absl import logging
@@ -13,6 +13,7 @@
     EndpointView,
     QueueRanking,
 )
+from shallotstand.dispatch.request_shares import PeerShares, RequestShares
 
 # Time after an outage of the store for which endpoints with an expired
 # registration stay in use. They register again within about two seconds, and
@@ -73,10 +74,13 @@
       seconds_per_unit: Seconds per unit of work: per request for unary
         responses, per event for batch items. None without a recent
         measurement.
+      shares: What these processes know of its limit, and which of them
+        compete for it.
     """
 
     running: int
     seconds_per_unit: float | None = None
+    shares: PeerShares = PeerShares()
 
 
 class _Health:
@@ -101,11 +105,21 @@
 class EndpointRegistry:
     """The registered endpoints, with their load and health.
 
+    Implements `LimitObserver`.
+
     Attributes:
       by_id: Every registered endpoint by its identifier.
+      request_shares: This process's shares of the limits that endpoints state.
     """
 
-    def __init__(self, zone: str, clock: Clock):
+    def __init__(self, zone: str, clock: Clock, process_id: str = ""):
+        """Creates an empty registry.
+
+        Args:
+          zone: Availability zone of this process.
+          clock: Source of time.
+          process_id: Identifier that tells this process from its peers.
+        """
         self._zone = zone
         self._clock = clock
         self._listeners: list[Callable[[], None]] = []
@@ -115,6 +129,8 @@
         self._expires_at_by_id: dict[str, float] = {}
         self._fetch_peer_states: Callable[[], dict[str, EndpointState]] = dict
         self.by_id: dict[str, Endpoint] = {}
+        self.request_shares = RequestShares(process_id, clock)
+        self.request_shares.set_peer_shares_source(self._peer_shares)
 
     def set_peer_states_source(
         self, source: Callable[[], dict[str, EndpointState]]
@@ -125,15 +141,19 @@
     def local_states_by_id(self) -> dict[str, EndpointState]:
         """Returns this process's states of the endpoints that it uses."""
         measured_since = self._clock.monotonic() - MEASUREMENT_MAX_AGE_S
+        shares_by_id = self.request_shares.own_shares_by_id()
         return {
             endpoint_id: EndpointState(
                 health.in_flight,
                 health.seconds_per_unit
                 if health.measured_at >= measured_since
                 else None,
+                shares_by_id.get(endpoint_id, PeerShares()),
             )
             for endpoint_id, health in self._health_by_id.items()
-            if health.in_flight or health.measured_at >= measured_since
+            if health.in_flight
+            or health.measured_at >= measured_since
+            or endpoint_id in shares_by_id
         }
 
     def subscribe(self, listener: Callable[[], None]) -> None:
@@ -148,6 +168,8 @@
             in_flight = self._health_by_id[endpoint.id].in_flight
             health = self._health_by_id[endpoint.id] = _Health()
             health.in_flight = in_flight
+            if previous is not None:
+                self.request_shares.record_start(endpoint.id)
         self.by_id[endpoint.id] = endpoint
         if previous is None or previous._replace(
             version_by_model={}
@@ -194,6 +216,7 @@
                 for endpoint in self._active_endpoints(service)
                 if endpoint.id not in excluded
                 and self.is_available(endpoint.id, model)
+                and not self.request_shares.seconds_until_request(endpoint.id)
             ),
             key=lambda endpoint: ranking.cost(
                 self._view(endpoint, mean_seconds_per_unit)
@@ -216,13 +239,17 @@
         return max(health.backoff_until, refused_until) <= now
 
     def next_retry_in_s(self, service: str) -> float | None:
-        """Returns the seconds until a backoff of an endpoint ends.
+        """Returns the seconds until an endpoint may be tried again.
 
         Returns:
-          The lowest value for the endpoints of the service; None if none of
-          them is in a backoff.
+          The lowest value for the endpoints of the service that are in a
+          backoff or at their limit; None if there are none.
         """
         now = self._clock.monotonic()
+        limit_waits_s = (
+            self.request_shares.seconds_until_request(endpoint.id)
+            for endpoint in self._active_endpoints(service)
+        )
         backoff_ends = itertools.chain.from_iterable(
             (health.backoff_until, *health.backoff_until_by_model.values())
             for health in (
@@ -230,8 +257,28 @@
                 for endpoint in self._active_endpoints(service)
             )
         )
+        waits_s = itertools.chain(
+            (end - now for end in backoff_ends), limit_waits_s
+        )
         return min(
-            (end - now for end in backoff_ends if end > now), default=None
+            (wait_s for wait_s in waits_s if 0 < wait_s < float("inf")),
+            default=None,
+        )
+
+    def limit_wait_s(self, services: Iterable[str]) -> float:
+        """Returns the seconds until an endpoint's limit allows a request.
+
+        Returns:
+          The lowest value for the endpoints of the services; 0 if an endpoint
+          is below its limit or there are none.
+        """
+        return min(
+            (
+                self.request_shares.seconds_until_request(endpoint.id)
+                for service in services
+                for endpoint in self._active_endpoints(service)
+            ),
+            default=0.0,
         )
 
     def seconds_per_unit(self, endpoint: Endpoint) -> float | None:
@@ -256,12 +303,22 @@
             self._health_by_id[endpoint.id].version_by_model.get(model, 0),
         )
 
+    def record_response(
+        self, endpoint_id: str, requests_per_s: float | None, sent_at: float
+    ) -> None:
+        """Records what a response says about the limit of its endpoint."""
+        if self.request_shares.record_response(
+            endpoint_id, requests_per_s, sent_at
+        ):
+            self._notify()
+
     def record_request_start(self, endpoint: Endpoint, model: str = "") -> None:
         """Records that a request is sent to an endpoint.
 
         After a refusal, a single request probes the endpoint. Other requests
         wait until the endpoint accepts the probe or a new backoff ends.
         """
+        self.request_shares.record_send(endpoint.id)
         health = self._health_by_id[endpoint.id]
         health.in_flight += 1
         if health.consecutive_refusals_by_model[model]:
@@ -386,8 +443,13 @@
         self.by_id.pop(endpoint_id, None)
         if not self._health_by_id[endpoint_id].in_flight:
             self._health_by_id.pop(endpoint_id, None)
+        self.request_shares.remove(endpoint_id)
         logs.event(logging.INFO, "Endpoint gone", endpoint=endpoint_id)
 
+    def _peer_shares(self, endpoint_id: str) -> PeerShares:
+        state = self._fetch_peer_states().get(endpoint_id)
+        return PeerShares() if state is None else state.shares
+
     def _running_requests(self, endpoint: Endpoint) -> int:
         local = self._health_by_id[endpoint.id].in_flight
         state = self._fetch_peer_states().get(endpoint.id)
--- a/libs/dispatch/src/shallotstand/dispatch/plain.py
+++ b/libs/dispatch/src/shallotstand/dispatch/plain.py
@@ -29,6 +29,9 @@
 # A request that no endpoint accepts fails after this share of the latency
 # objective, so that the caller still has time to try another gateway.
 MAX_WAIT_SHARE = 0.2
+# Longest time after which a caller is told to come back. Another gateway may
+# have a larger share of the endpoints' limits.
+MAX_RETRY_AFTER_S = 1.0
 # Maximum refusals of one request by endpoints; each costs a connection.
 MAX_REFUSALS = 8
 
@@ -148,6 +151,19 @@
     )
 
 
+def at_limit_failure(limit_wait_s: float) -> Failure:
+    """Returns the outcome of a request that no endpoint's limit allows now.
+
+    Args:
+      limit_wait_s: Seconds until a limit allows a request of this process.
+    """
+    return Failure(
+        ResultCode.ENDPOINTS_AT_LIMIT,
+        "All endpoints get as many requests as they accept.",
+        retry_after_s=min(MAX_RETRY_AFTER_S, limit_wait_s),
+    )
+
+
 class _RequestAttempts:
     """The attempts of one request, including retries and hedges."""
 
@@ -184,7 +200,9 @@
             if may_send and not self._running:
                 may_send = self._start_attempt(service, deadline)
             if not self._running:
-                result = await self._wait_for_endpoint(started_at, may_send)
+                result = await self._wait_for_endpoint(
+                    service, started_at, may_send
+                )
                 if result is not None:
                     return result
                 continue
@@ -265,7 +283,7 @@
         return True
 
     async def _wait_for_endpoint(
-        self, started_at: float, may_send: bool
+        self, service: str, started_at: float, may_send: bool
     ) -> EndpointResponse | Failure | None:
         """Waits before the next attempt unless the request has an outcome.
 
@@ -278,11 +296,15 @@
             return self._last_error_response
         if self._last_failure is not None:
             return self._last_failure
-        waited_s = self._clock.monotonic() - started_at
-        if (
-            self.refusal_count >= MAX_REFUSALS
-            or waited_s > self._route.objective_s * MAX_WAIT_SHARE
-        ):
+        wait_left_s = (
+            self._route.objective_s * MAX_WAIT_SHARE
+            + started_at
+            - self._clock.monotonic()
+        )
+        limit_wait_s = self._endpoint_registry.limit_wait_s((service,))
+        if limit_wait_s > max(0.0, wait_left_s):
+            return at_limit_failure(limit_wait_s)
+        if self.refusal_count >= MAX_REFUSALS or wait_left_s < 0:
             return Failure(
                 ResultCode.NO_ENDPOINT,
                 "No endpoint can accept the request now.",
--- /dev/null
+++ b/libs/dispatch/src/shallotstand/dispatch/request_shares.py
@@ -0,0 +1,203 @@
+"""Shares the limit that an endpoint states among the processes that use it.
+
+The pattern of load: an engine in need names a few requests a second, while
+many gateways have work for it, each of which knows only its own requests
+exactly. Every gateway therefore spends an equal share of the limit, which it
+works out from the gateways that report to compete for the endpoint.
+
+Bounds, with a limit of R requests a second: at most 3 + 1.5 R processes have a
+share at the same time, and each saves up one request or SAVED_S of its share.
+In a span of t seconds an endpoint so gets up to R t + 3 + 1.5 R requests, and
+some more for as long as the processes don't know of each other.
+"""
+
+import heapq
+from collections.abc import Callable
+from typing import NamedTuple
+
+from absl import logging
+from shallotstand.core import logs, rendezvous
+from shallotstand.core.clock import Clock
+from shallotstand.dispatch.stated_limits import StatedLimit, StatedLimits
+
+# A process competes for an endpoint until it has had no request for it for this
+# long. Peers learn of a competitor within half a second.
+COMPETING_S = 4.0
+# Time whose share a process may save up and then spend at once.
+SAVED_S = 0.5
+# Processes that share a limit: a number, and more with the limit. More of them
+# would send too much if each spent one saved request at the same moment.
+MIN_SHARING = 3
+SHARING_PER_REQUEST_S = 1.5
+# How long the same processes share a limit if more compete than may share it.
+ROTATION_S = 16.0
+# Requests per second to an endpoint that states less. Only a response tells
+# that a limit has risen or ended.
+PROBES_PER_S = 0.25
+
+
+class PeerShares(NamedTuple):
+    """What peers report about the limit of an endpoint.
+
+    Attributes:
+      stated_limit: The newest statement that a response to one of them
+        carried; None if there was none.
+      competitors: Identifiers of the processes that have requests for it.
+    """
+
+    stated_limit: StatedLimit | None = None
+    competitors: frozenset[str] = frozenset()
+
+
+_NO_PEERS = PeerShares()
+
+
+class _Allowance:
+    """Token bucket with the requests that this process may send now."""
+
+    def __init__(self, now: float):
+        self._saved_requests = 0.0
+        self._refilled_at = now
+        self.wanted_at = now
+
+    def refill(self, requests_per_s: float, now: float) -> None:
+        """Adds the share since the last call, up to what may be saved."""
+        self._saved_requests = min(
+            max(1.0, requests_per_s * SAVED_S),
+            self._saved_requests + requests_per_s * (now - self._refilled_at),
+        )
+        self._refilled_at = now
+
+    def spend(self) -> None:
+        """Takes one request off."""
+        self._saved_requests -= 1.0
+
+    def seconds_until_request(self, requests_per_s: float) -> float:
+        """Returns when the next request may be sent; infinite without share."""
+        missing = 1.0 - self._saved_requests
+        if missing <= 0:
+            return 0.0
+        return missing / requests_per_s if requests_per_s else float("inf")
+
+
+class RequestShares:
+    """This process's shares of the limits of all endpoints."""
+
+    def __init__(self, process_id: str, clock: Clock):
+        self._process_id = process_id
+        self._clock = clock
+        self._limits = StatedLimits(clock)
+        self._allowance_by_id: dict[str, _Allowance] = {}
+        self._fetch_peer_shares: Callable[[str], PeerShares] = lambda _: (
+            _NO_PEERS
+        )
+        self._listeners: list[Callable[[], None]] = []
+
+    def set_peer_shares_source(
+        self, source: Callable[[str], PeerShares]
+    ) -> None:
+        """Sets the function that returns the peers' reports of an endpoint."""
+        self._fetch_peer_shares = source
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Calls the listener when peers should hear of a change."""
+        self._listeners.append(listener)
+
+    def record_response(
+        self, endpoint_id: str, requests_per_s: float | None, sent_at: float
+    ) -> bool:
+        """Records a response; see `StatedLimits.record_response`."""
+        has_changed = self._limits.record_response(
+            endpoint_id, requests_per_s, sent_at
+        )
+        if has_changed:
+            self._notify()
+        return has_changed
+
+    def record_start(self, endpoint_id: str) -> None:
+        """Records that an endpoint has started anew, without a limit."""
+        self._allowance_by_id.pop(endpoint_id, None)
+        self._limits.record_start(endpoint_id)
+
+    def remove(self, endpoint_id: str) -> None:
+        """Forgets an endpoint."""
+        self._allowance_by_id.pop(endpoint_id, None)
+        self._limits.remove(endpoint_id)
+
+    def record_send(self, endpoint_id: str) -> None:
+        """Records that a request is sent to an endpoint."""
+        allowance = self._allowance_by_id.get(endpoint_id)
+        if allowance is not None:
+            allowance.spend()
+
+    def seconds_until_request(self, endpoint_id: str) -> float:
+        """Returns when this process may send a request to an endpoint.
+
+        The process competes for the endpoint from then on, since it has a
+        request for it.
+
+        Returns:
+          Seconds; 0 if it may send one now, infinite if the limit is shared by
+          other processes for the time being.
+        """
+        peers = self._fetch_peer_shares(endpoint_id)
+        limit = self._limits.newest(endpoint_id, peers.stated_limit)
+        if limit is None:
+            self._allowance_by_id.pop(endpoint_id, None)
+            return 0.0
+        now = self._clock.monotonic()
+        competitors = peers.competitors | {self._process_id}
+        share = self._share(endpoint_id, limit, competitors)
+        allowance = self._allowance_by_id.get(endpoint_id)
+        if allowance is None or now - allowance.wanted_at > COMPETING_S:
+            allowance = self._allowance_by_id[endpoint_id] = _Allowance(now)
+            logs.event(
+                logging.INFO,
+                "Competes for an endpoint with a limit",
+                endpoint=endpoint_id,
+                requests_per_s=limit,
+                share_per_s=round(share, 4),
+                competitors=len(competitors),
+            )
+            self._notify()
+        allowance.wanted_at = now
+        allowance.refill(share, now)
+        return allowance.seconds_until_request(share)
+
+    def own_shares_by_id(self) -> dict[str, PeerShares]:
+        """Returns what this process reports to its peers, by endpoint."""
+        competing_since = self._clock.monotonic() - COMPETING_S
+        competing_ids = {
+            endpoint_id
+            for endpoint_id, allowance in self._allowance_by_id.items()
+            if allowance.wanted_at >= competing_since
+        }
+        own = frozenset({self._process_id})
+        return {
+            endpoint_id: PeerShares(
+                self._limits.own_by_id.get(endpoint_id),
+                own if endpoint_id in competing_ids else frozenset(),
+            )
+            for endpoint_id in competing_ids | self._limits.own_by_id.keys()
+        }
+
+    def _share(
+        self, endpoint_id: str, limit: float, competitors: frozenset[str]
+    ) -> float:
+        """Returns the requests per second that this process may send."""
+        sharing_count = MIN_SHARING + int(SHARING_PER_REQUEST_S * limit)
+        if len(competitors) > sharing_count:
+            turn = int(self._clock.wall() // ROTATION_S)
+            name = f"{endpoint_id}/{turn}"
+            sharing = heapq.nlargest(
+                sharing_count,
+                competitors,
+                key=lambda process_id: rendezvous.weight(name, process_id),
+            )
+            if self._process_id not in sharing:
+                return 0.0
+        return max(limit, PROBES_PER_S) / min(len(competitors), sharing_count)
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
--- a/libs/dispatch/src/shallotstand/dispatch/streams.py
+++ b/libs/dispatch/src/shallotstand/dispatch/streams.py
@@ -16,6 +16,7 @@
     StreamEvent,
 )
 from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
+from shallotstand.dispatch.plain import at_limit_failure
 
 # Longest gap between events before a stream resumes on another endpoint. A
 # stream that can't resume has until its deadline, since a slow endpoint may
@@ -76,6 +77,9 @@
         while len(self._tried_endpoint_ids) < max(1, self._route.max_attempts):
             candidates = self._candidates()
             if not candidates:
+                limit_wait_s = self._limit_wait_s()
+                if limit_wait_s and not may_have_run:
+                    failure = at_limit_failure(limit_wait_s)
                 break
             outcome = await self._attempt(candidates[0])
             if not isinstance(outcome, Failure):
@@ -153,6 +157,11 @@
             self._endpoint_registry.record_request_end(self._endpoint)
             self._endpoint = None
 
+    def _limit_wait_s(self) -> float:
+        return self._endpoint_registry.limit_wait_s(
+            target.service for target in self._route.targets
+        )
+
     def _candidates(self) -> list[Endpoint]:
         tried = frozenset(self._tried_endpoint_ids)
         return [
--- a/libs/link/src/shallotstand/link/gateway_messages.py
+++ b/libs/link/src/shallotstand/link/gateway_messages.py
@@ -12,11 +12,23 @@
       pace_us: Microseconds that the endpoint takes per unit of work; 0 if
         there is no recent measurement. Only values of endpoints of the same
         service can be compared, because the unit depends on the service.
+      has_statement: Whether the endpoint ever stated a limit to the gateway,
+        so that the next three fields have a meaning.
+      statement_age_ms: Milliseconds since its newest statement.
+      has_limit: Whether that statement is a limit; if not, it has ended.
+      limit_per_1000_s: The limit, in requests per 1,000 seconds.
+      competes: Whether the gateway has requests for the endpoint and so takes
+        a share of its limit.
     """
 
     endpoint: str
     running: int
     pace_us: int = 0
+    has_statement: bool = False
+    statement_age_ms: int = 0
+    has_limit: bool = False
+    limit_per_1000_s: int = 0
+    competes: bool = False
 
 
 class Presence(NamedTuple):
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -241,6 +241,11 @@
   endpoint @0 :Text;
   running @1 :UInt16;
   paceUs @2 :UInt32;
+  hasStatement @3 :Bool;
+  statementAgeMs @4 :UInt32;
+  hasLimit @5 :Bool;
+  limitPer1000S @6 :UInt32;
+  competes @7 :Bool;
 }
 
 struct Presence {
--- a/libs/peers/src/shallotstand/peers/mesh.py
+++ b/libs/peers/src/shallotstand/peers/mesh.py
@@ -1,23 +1,24 @@
 """Connections between the gateways, and their presence messages."""
 
 import asyncio
-import hashlib
-import statistics
 from collections.abc import Callable, Iterator
 
 from absl import logging
-from shallotstand.core import logs
+from shallotstand.core import logs, rendezvous
 from shallotstand.core.clock import Clock
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.endpoints import EndpointState
 from shallotstand.link.codec import encode
-from shallotstand.link.gateway_messages import EndpointUse, Presence
+from shallotstand.link.gateway_messages import Presence
 from shallotstand.link.link import Link
 from shallotstand.link.messages import Message
+from shallotstand.peers.endpoint_uses import UseReport, merge_reports
 from shallotstand.peers.registry import PeerAddress, PeerRegistry
 
 # How often a process sends its presence to its peers.
 PRESENCE_INTERVAL_S = 0.4
+# How soon after a presence the next one may tell of a change.
+MIN_PRESENCE_INTERVAL_S = 0.1
 # A connected peer that has sent no presence for this long, four intervals,
 # counts as gone.
 PEER_TIMEOUT_S = 1.6
@@ -87,6 +88,7 @@
         self._handlers_by_type: dict[type, MessageHandler] = {}
         self._states_by_endpoint: dict[str, EndpointState] = {}
         self._endpoints_merged_at = float("-inf")
+        self._presence_sent_at = float("-inf")
         self._last_sent_batches: tuple[str, ...] = ()
         self._listeners: list[Callable[[], None]] = []
         self._server: asyncio.Server | None = None
@@ -120,6 +122,14 @@
         """Sends the presence of this process at once, since it has changed."""
         self._send_presence()
 
+    def announce_change(self) -> None:
+        """Sends the presence of this process unless it has just been sent."""
+        if (
+            self._clock.monotonic() - self._presence_sent_at
+            >= MIN_PRESENCE_INTERVAL_S
+        ):
+            self._send_presence()
+
     def broadcast(self, message: Message) -> None:
         """Sends a message to all peers."""
         if not self._links:
@@ -206,7 +216,7 @@
             process_ids.append(self._own_address.process_id)
         return max(
             process_ids,
-            key=lambda process_id: _rendezvous_weight(name, process_id),
+            key=lambda process_id: rendezvous.weight(name, process_id),
             default="",
         )
 
@@ -226,14 +236,18 @@
         return self._states_by_endpoint
 
     def _merge_endpoint_states(self) -> dict[str, EndpointState]:
-        uses_by_endpoint: dict[str, list[EndpointUse]] = {}
+        reports_by_endpoint: dict[str, list[UseReport]] = {}
         for state in self._states_by_instance.values():
             if state.presence is not None and self._is_alive(state):
                 for use in state.presence.uses:
-                    uses_by_endpoint.setdefault(use.endpoint, []).append(use)
+                    reports_by_endpoint.setdefault(use.endpoint, []).append(
+                        UseReport(
+                            use, state.presence.process_id, state.received_at
+                        )
+                    )
         return {
-            endpoint: _merge_uses(uses)
-            for endpoint, uses in uses_by_endpoint.items()
+            endpoint: merge_reports(reports)
+            for endpoint, reports in reports_by_endpoint.items()
         }
 
     def available_in_zone(self, zone: str) -> list[Presence]:
@@ -264,6 +278,7 @@
         return now - state.disconnected_at < RECONNECT_GRACE_S
 
     def _send_presence(self) -> None:
+        self._presence_sent_at = self._clock.monotonic()
         presence = self._make_presence()
         if not presence.reaches_store:
             self._store_reachable_since = None
@@ -377,19 +392,3 @@
                 self._clock.monotonic()
             )
         return self._states_by_instance[instance]
-
-
-def _rendezvous_weight(name: str, process_id: str) -> bytes:
-    """Returns the weight of a process in rendezvous hashing."""
-    return hashlib.blake2b(
-        f"{name}/{process_id}".encode(), digest_size=8
-    ).digest()
-
-
-def _merge_uses(uses: list[EndpointUse]) -> EndpointState:
-    """Merges the states of one endpoint that several peers report."""
-    seconds_per_unit = [use.pace_us / 1e6 for use in uses if use.pace_us]
-    return EndpointState(
-        sum(use.running for use in uses),
-        statistics.median(seconds_per_unit) if seconds_per_unit else None,
-    )
