Never take an error for the rest of a stream

Callers saw (in a test): a stream broke off, the engine on which it resumed responded with an error and an empty body, and the stream ended as if it were complete. A first response with an error lost its content.

Cause: the status of a response was looked at only for items of batches. A caller's stream read the body of any response as events, and a body without bytes is a complete list of events.

Ruled out: error text inside the stream. It is no event, so the stream was cut there before, too.

Change: the content of a response with another status than 200 is read whole and never becomes part of a stream. While nothing was sent it is the caller's response, unless another endpoint may still serve the request; afterwards the next endpoint is tried, and the stream is cut if there is none.

Items were safe (_ErrorResponse in item_run.py).

--- a/apps/standins/src/shallotstand/standins/memory_engines.py
+++ b/apps/standins/src/shallotstand/standins/memory_engines.py
@@ -29,17 +29,22 @@
     """Implements `EventStream` over a list of events."""
 
     def __init__(
-        self, events: list[StreamEvent | Failure | float], version: int | None
+        self,
+        events: list[StreamEvent | Failure | float],
+        version: int | None,
+        status: int = 200,
     ):
         """Creates a stream.
 
         Args:
           events: What it yields; a float is a pause in seconds.
           version: Weight version at the start of the stream.
+          status: HTTP status; the body of another one than 200 is `error`.
         """
         self._events = events
-        self.status = 200
+        self.status = status
         self.headers: tuple[tuple[str, str], ...] = ()
+        self.signature = "seal"
         self.version = version
         self.is_closed = False
 
@@ -51,6 +56,10 @@
                 continue
             yield event
 
+    async def read_body(self) -> bytes | Failure:
+        """Returns the body of an error response."""
+        return b"error"
+
     def close(self) -> None:
         """Closes the stream."""
         self.is_closed = True
--- a/libs/dispatch/src/shallotstand/dispatch/endpoint_client.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoint_client.py
@@ -108,11 +108,13 @@
     Attributes:
       status: HTTP status; events follow only if it is 200.
       headers: End-to-end headers.
+      signature: The endpoint's signature; empty if it sent none.
       version: Version of the weights at the start; None if not stated.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
+    signature: str
     version: int | None
 
     def events(self) -> AsyncIterator[StreamEvent | Failure]:
@@ -122,6 +124,10 @@
         """
         ...
 
+    async def read_body(self) -> bytes | Failure:
+        """Reads the whole content of a response that has no events."""
+        ...
+
     def close(self) -> None:
         """Closes the stream; the endpoint then stops generating."""
         ...
--- a/libs/dispatch/src/shallotstand/dispatch/request_handler.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_handler.py
@@ -131,11 +131,15 @@
 
     async def open_stream(
         self, request: CallerRequest, admitted: AdmittedRequest
-    ) -> CallerStream | Failure:
+    ) -> CallerStream | EndpointResponse | Failure:
         """Opens the stream of a request.
 
-        The returned stream must be closed. The request is counted for the usage
-        report only if an endpoint accepted it.
+        The request is counted for the usage report only if an endpoint accepted
+        it.
+
+        Returns:
+          A stream, which must be closed; the response of an endpoint that
+          answered without a stream; or the reason why there is neither.
         """
         stream = CallerStream(
             self._endpoint_registry,
@@ -147,11 +151,11 @@
             ),
             self._clock.monotonic() + _budget_s(request, admitted.route),
         )
-        failure = await stream.open()
+        answer = await stream.open()
         if stream.first_started_at is not None and admitted.account is not None:
             elapsed_s = self._clock.monotonic() - stream.first_started_at
             self._usage_meter.count_request(admitted.account.name, elapsed_s)
-        return stream if failure is None else failure
+        return stream if answer is None else answer
 
     def _authenticate(
         self, request: CallerRequest, route: Route
--- a/libs/dispatch/src/shallotstand/dispatch/streams.py
+++ b/libs/dispatch/src/shallotstand/dispatch/streams.py
@@ -12,6 +12,7 @@
 from shallotstand.dispatch.endpoint_client import (
     EndpointClient,
     EndpointRequest,
+    EndpointResponse,
     EventStream,
     StreamEvent,
 )
@@ -22,6 +23,8 @@
 # stream that can't resume has until its deadline, since a slow endpoint may
 # still complete it.
 STALL_TIMEOUT_S = 2.0
+# Status of a response whose content is a stream of events.
+_STREAM_STATUS = 200
 
 
 class CallerStream:
@@ -63,35 +66,42 @@
         self.headers: tuple[tuple[str, str], ...] = ()
         self.first_started_at: float | None = None
 
-    async def open(self) -> Failure | None:
+    async def open(self) -> EndpointResponse | Failure | None:
         """Opens the stream on an endpoint.
 
+        Returns:
+          None if events follow; otherwise the response for the caller, which
+          an endpoint gave instead of a stream, or the reason for none.
+
         Errors:
-          NO_ENDPOINT, ENDPOINT_REFUSED: Not run; no endpoint accepted the
-            request.
+          NO_ENDPOINT, ENDPOINTS_AT_LIMIT, ENDPOINT_REFUSED: Not run; no
+            endpoint accepted the request.
           ANSWER_CUT, ENDPOINT_BAD_ANSWER, ENDPOINT_TIMEOUT: The request may
             have run.
         """
-        failure = Failure(ResultCode.NO_ENDPOINT, "No endpoint is available.")
-        may_have_run = False
+        not_run = Failure(ResultCode.NO_ENDPOINT, "No endpoint is available.")
+        ran: EndpointResponse | Failure | None = None
         while len(self._tried_endpoint_ids) < max(1, self._route.max_attempts):
             candidates = self._candidates()
             if not candidates:
                 limit_wait_s = self._limit_wait_s()
-                if limit_wait_s and not may_have_run:
-                    failure = at_limit_failure(limit_wait_s)
+                if limit_wait_s:
+                    not_run = at_limit_failure(limit_wait_s)
                 break
             outcome = await self._attempt(candidates[0])
-            if not isinstance(outcome, Failure):
+            if isinstance(outcome, Failure) and is_not_run(outcome.code):
+                not_run = outcome
+                continue
+            if not isinstance(outcome, Failure | EndpointResponse):
                 self.status, self.headers = outcome.status, outcome.headers
                 return None
-            if not is_not_run(outcome.code):
-                failure, may_have_run = outcome, True
-                if not self._route.is_repeatable:
-                    break
-            elif not may_have_run:
-                failure = outcome
-        return failure
+            ran = outcome
+            is_final = isinstance(outcome, EndpointResponse) and (
+                outcome.status < 500
+            )
+            if is_final or not self._route.is_repeatable:
+                break
+        return not_run if ran is None else ran
 
     async def events(self) -> AsyncIterator[StreamEvent | Failure]:
         """Yields the events in order, without gaps or duplicates."""
@@ -172,7 +182,14 @@
             )
         ]
 
-    async def _attempt(self, endpoint: Endpoint) -> EventStream | Failure:
+    async def _attempt(
+        self, endpoint: Endpoint
+    ) -> EventStream | EndpointResponse | Failure:
+        """Sends the request to an endpoint.
+
+        Returns:
+          The open stream; the whole response if it is none; or a Failure.
+        """
         self._tried_endpoint_ids.add(endpoint.id)
         self._endpoint_registry.record_request_start(endpoint)
         self._endpoint = endpoint
@@ -186,26 +203,64 @@
             outcome = await self._client.open_stream(
                 endpoint, endpoint_request, self._deadline - now
             )
+            if not isinstance(outcome, Failure):
+                self._stream = outcome
+                outcome = await self._read_if_no_stream(outcome)
         except BaseException:
             self.close()
             raise
-        if isinstance(outcome, Failure):
+        self._record_attempt(endpoint, outcome)
+        if isinstance(outcome, Failure | EndpointResponse):
             self.close()
-            if is_not_run(outcome.code):
-                self._endpoint_registry.record_refusal(endpoint)
-            else:
-                self._endpoint_registry.record_failure(
-                    endpoint, outcome.reason, now
-                )
-                self._endpoint_registry.record_outcome(
-                    endpoint, has_failed=True
-                )
-            return outcome
+        return outcome
+
+    async def _read_if_no_stream(
+        self, stream: EventStream
+    ) -> EventStream | EndpointResponse | Failure:
+        """Returns the whole response instead if it is not a stream.
+
+        Its content is never part of a stream to the caller, which may already
+        have got events of another endpoint.
+        """
+        if stream.status == _STREAM_STATUS:
+            return stream
+        try:
+            async with asyncio.timeout(
+                self._deadline - self._clock.monotonic()
+            ):
+                body = await stream.read_body()
+        except TimeoutError:
+            return Failure(
+                ResultCode.ENDPOINT_TIMEOUT, "No complete response in time."
+            )
+        if isinstance(body, Failure):
+            return body
+        return EndpointResponse(
+            stream.status, stream.headers, body, stream.signature
+        )
+
+    def _record_attempt(
+        self,
+        endpoint: Endpoint,
+        outcome: EventStream | EndpointResponse | Failure,
+    ) -> None:
+        """Records what the start of an attempt tells of its endpoint."""
+        if isinstance(outcome, Failure) and is_not_run(outcome.code):
+            self._endpoint_registry.record_refusal(endpoint)
+            return
+        if isinstance(outcome, Failure):
+            self._endpoint_registry.record_failure(
+                endpoint, outcome.reason, self._attempt_started_at
+            )
+            self._endpoint_registry.record_outcome(endpoint, has_failed=True)
+            return
         if self.first_started_at is None:
-            self.first_started_at = now
+            self.first_started_at = self._attempt_started_at
         self._endpoint_registry.record_acceptance(endpoint)
-        self._stream = outcome
-        return outcome
+        if isinstance(outcome, EndpointResponse):
+            self._endpoint_registry.record_outcome(
+                endpoint, has_failed=outcome.status >= 500
+            )
 
     def _next_endpoints(self) -> list[Endpoint]:
         """Returns the endpoints on which the stream may resume now."""
@@ -228,6 +283,15 @@
         )
         while endpoints := self._next_endpoints():
             outcome = await self._attempt(endpoints[0])
-            if not isinstance(outcome, Failure):
+            if not isinstance(outcome, Failure | EndpointResponse):
                 return None
+            logs.event(
+                logging.INFO,
+                "Stream not resumed",
+                request=self._endpoint_request.request_id,
+                next_event=self._next_event_number,
+                reason=outcome.reason
+                if isinstance(outcome, Failure)
+                else f"status {outcome.status}",
+            )
         return failure
--- a/libs/dispatch/tests/test_request_shares.py
+++ b/libs/dispatch/tests/test_request_shares.py
@@ -198,13 +198,28 @@
     assert fleet.engine.count() - before >= 36
 
 
-def test_limit_that_ends_holds_nothing_back():
+def test_short_pause_saves_up_no_burst():
+    # Guards against requests that are saved up while there is no work for an
+    # engine and then all spent within one window.
+    fleet = SimulatedFleet(5)
+    fleet.engine.state(8.0)
+    for _ in range(3):
+        fleet.requests_per_s = 20.0
+        fleet.run(5.0)
+        fleet.requests_per_s = 0.0
+        fleet.run(request_shares.COMPETING_S - 0.2)
+    assert fleet.engine.violations() == []
+
+
+@pytest.mark.parametrize("limit", [0.0, 1.0])
+def test_limit_that_ends_holds_nothing_back(limit):
+    # Guards against a limit of 0 whose end no request would ever show.
     fleet = SimulatedFleet(3)
-    fleet.engine.state(1.0)
+    fleet.engine.state(limit)
     fleet.run(5.0)
     fleet.engine.state(None)
     # A response has to tell of the end first.
-    fleet.run(3.0)
+    fleet.run(1 / request_shares.PROBES_PER_S * 3)
     before = fleet.engine.count()
     fleet.run(4.0)
     assert fleet.engine.count() - before > 3 * 5.0 * 4.0 * 0.8
--- a/libs/dispatch/tests/test_streams.py
+++ b/libs/dispatch/tests/test_streams.py
@@ -47,19 +47,19 @@
     )
 
 
-def read_stream(stream, is_resumable, deadline_s=2.0):
+def read_stream(stream, is_resumable, deadline_s=2.0, engines=("a", "b")):
     """Returns what the caller receives and the engines that were asked."""
 
     async def scenario():
         clock = SystemClock()
         registry = EndpointRegistry("zone-a", clock)
-        for name in ("a", "b"):
+        for name in engines:
             registry.update_endpoint(make_endpoint(name))
-        engines = MemoryEngines()
-        engines.stream = stream
+        client = MemoryEngines()
+        client.stream = stream
         caller_stream = CallerStream(
             registry,
-            engines,
+            client,
             clock,
             make_route(is_resumable),
             EndpointRequest(
@@ -70,7 +70,7 @@
         assert await caller_stream.open() is None
         received = [event async for event in caller_stream.events()]
         caller_stream.close()
-        return received, [sent.endpoint for sent in engines.sent]
+        return received, [sent.endpoint for sent in client.sent]
 
     return asyncio.run(asyncio.wait_for(scenario(), 10))
 
@@ -161,3 +161,46 @@
 
         received, _ = read_stream(stream, is_resumable=True)
         assert [event.number for event in received] == [1, 2, 3, 4, 5, 6]
+
+
+def error_stream(status=500):
+    return MemoryStream([], None, status)
+
+
+@pytest.mark.parametrize("status", [400, 500, 503])
+def test_error_of_the_next_engine_does_not_end_the_stream(status):
+    # Guards against a stream that broke off and ends as if it were complete,
+    # since the engine on which it resumes responds with an error.
+    def stream(sent):
+        if sent.request.last_event_id is None:
+            return MemoryStream([*numbered_events(1, 2), ANSWER_CUT], 1)
+        return error_stream(status)
+
+    received, endpoints = read_stream(stream, is_resumable=True)
+    assert [event.number for event in received[:2]] == [1, 2]
+    assert isinstance(received[2], Failure)
+    assert len(received) == 3
+    assert sorted(endpoints) == ["a", "b"]
+
+
+def test_stream_resumes_past_an_engine_that_responds_with_an_error():
+    # Guards against a stream that is given up although a third engine could
+    # go on.
+    answers = iter(
+        [
+            MemoryStream([*numbered_events(1, 2), ANSWER_CUT], 1),
+            error_stream(),
+            MemoryStream(numbered_events(3, 4), 1),
+        ]
+    )
+    received, endpoints = read_stream(
+        lambda _: next(answers), is_resumable=True, engines=("a", "b", "c")
+    )
+    assert [event.number for event in received] == [1, 2, 3, 4]
+    assert sorted(endpoints) == ["a", "b", "c"]
+
+
+def test_first_engine_with_an_error_is_replaced_if_the_stream_may_resume():
+    answers = iter([error_stream(), MemoryStream(numbered_events(1, 2), 1)])
+    received, _ = read_stream(lambda _: next(answers), is_resumable=True)
+    assert [event.number for event in received] == [1, 2]
--- a/tests/adapter/test_engines.py
+++ b/tests/adapter/test_engines.py
@@ -438,3 +438,61 @@
     heads.append(encode_response("421 Other", Server_Limit="3"))
     heads.append(encode_response("200 OK", X_Shallotstand_Attempt_Id="r0"))
     assert read_limits(*heads)[0] == []
+
+
+HEADS = {
+    "whole": encode_response(
+        "200 OK", b"whole", X_Shallotstand_Server_Seal="seal"
+    ),
+    "chunked": stream_head(X_Shallotstand_Server_Seal="seal"),
+    "unframed": b"HTTP/1.1 200 OK\r\nX-Own: 1\r\nConnection: close\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("reset", [False, True])
+@pytest.mark.parametrize("kind", HEADS)
+def test_head_that_breaks_off_is_never_a_response(kind, reset):
+    # Guards against a 200 with an empty or short body made of the part of a
+    # head that arrived before its engine closed the connection.
+    head = HEADS[kind].partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+    lengths = iter(range(1, len(head)))
+    outcomes = []
+
+    async def scenario(client, engine, _):
+        for number in range(1, len(head)):
+            call = client.open_stream if number % 2 else client.send_request
+            request = make_request(is_repeatable=number % 3 > 0)
+            outcomes.append(await call(engine, request, 2.0))
+
+    run_scenario(
+        lambda _: Reply((head[: next(lengths)],), close=True, reset=reset),
+        scenario,
+    )
+    assert {outcome.code for outcome in outcomes} == {ResultCode.ANSWER_CUT}
+
+
+def test_content_of_an_error_in_place_of_a_stream_is_read_whole():
+    # Guards against half an error response that counts as a whole one.
+    outcomes = []
+
+    async def scenario(client, engine, _):
+        for _ in range(3):
+            stream = await client.open_stream(engine, make_request(), 0.5)
+            assert stream.status == 500
+            outcomes.append(await stream.read_body())
+            stream.close()
+
+    response = encode_response("500 Error", b"error")
+    unframed = b"HTTP/1.1 500 Error\r\nConnection: close\r\n\r\nerr"
+    replies = iter(
+        [
+            Reply((response,)),
+            Reply((response[:-1],), close=True),
+            Reply((unframed, 0.05), reset=True),
+        ]
+    )
+    run_scenario(lambda _: next(replies), scenario)
+    assert outcomes[0] == b"error"
+    assert [outcome.code for outcome in outcomes[1:]] == (
+        [ResultCode.ANSWER_CUT] * 2
+    )
--- a/tests/adapter/test_http_frontend.py
+++ b/tests/adapter/test_http_frontend.py
@@ -325,6 +325,44 @@
     run_scenario(scenario)
 
 
+def test_error_of_the_next_engine_is_no_part_of_a_stream():
+    # Guards against a caller who finds the error of another engine in the
+    # middle of a stream, or a broken stream that ends as if it were complete.
+    async def scenario(harness):
+        answers = iter(
+            [
+                MemoryStream([*_events_with_raw_bytes(1, 2), ANSWER_CUT], 1),
+                MemoryStream([], None, 500),
+            ]
+        )
+        harness.engines.stream = lambda _: next(answers)
+        async with harness.session.post(
+            f"{harness.url}/stream/a",
+            headers={"Host": "host.example", **KEY_HEADERS},
+        ) as response:
+            received = b""
+            with pytest.raises(aiohttp.ClientPayloadError):
+                async for chunk in response.content.iter_any():
+                    received += chunk
+        assert received == b"".join(
+            event.raw for event in _events_with_raw_bytes(1, 2)
+        )
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize("status", [422, 500])
+def test_error_in_place_of_a_stream_is_forwarded(status):
+    # Guards against an engine's own answer that is lost since its content is
+    # read as events.
+    async def scenario(harness):
+        harness.engines.stream = lambda _: MemoryStream([], None, status)
+        response, body = await post(harness, "/stream/a")
+        assert (response.status, body) == (status, b"error")
+
+    run_scenario(scenario)
+
+
 def _events_with_raw_bytes(first, last):
     return [
         event._replace(raw=f"id: {event.number}\n\n".encode())
