Leave the shares of limited engines to items that wait

Moves now leave engines with a limit out, a gateway competes for 2 s after its last request instead of 4, and may save up 1 s of its share instead of 0.5.

The new test failed before.

--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -207,8 +207,19 @@
         excluded: frozenset[str] = frozenset(),
         model: str = "",
         ranking: EndpointRanking = _QUEUE_RANKING,
+        has_request: bool = True,
     ) -> list[Endpoint]:
-        """Returns the available endpoints of a service, the cheapest first."""
+        """Returns the available endpoints of a service, the cheapest first.
+
+        Args:
+          service: The service.
+          excluded: Identifiers of endpoints that are left out.
+          model: Model of the request; empty if any.
+          ranking: Orders the endpoints.
+          has_request: Whether a request waits for them. If so, this process
+            competes from now on for those that state a limit; if not, these
+            are left out.
+        """
         mean_seconds_per_unit = self._mean_seconds_per_unit()
         return sorted(
             (
@@ -216,7 +227,7 @@
                 for endpoint in self._active_endpoints(service)
                 if endpoint.id not in excluded
                 and self.is_available(endpoint.id, model)
-                and not self.request_shares.seconds_until_request(endpoint.id)
+                and self._is_below_limit(endpoint.id, has_request)
             ),
             key=lambda endpoint: ranking.cost(
                 self._view(endpoint, mean_seconds_per_unit)
@@ -446,6 +457,11 @@
         self.request_shares.remove(endpoint_id)
         logs.event(logging.INFO, "Endpoint gone", endpoint=endpoint_id)
 
+    def _is_below_limit(self, endpoint_id: str, has_request: bool) -> bool:
+        if has_request:
+            return not self.request_shares.seconds_until_request(endpoint_id)
+        return not self.request_shares.has_limit(endpoint_id)
+
     def _peer_shares(self, endpoint_id: str) -> PeerShares:
         state = self._fetch_peer_states().get(endpoint_id)
         return PeerShares() if state is None else state.shares
--- a/libs/dispatch/src/shallotstand/dispatch/request_shares.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_shares.py
@@ -7,8 +7,9 @@
 
 Bounds, with a limit of R requests a second: at most 3 + 1.5 R processes have a
 share at the same time, and each saves up one request or SAVED_S of its share.
-In a span of t seconds an endpoint so gets up to R t + 3 + 1.5 R requests, and
-some more for as long as the processes don't know of each other.
+In a span of t seconds an endpoint so gets up to R t requests and the larger of
+R SAVED_S and 3 + 1.5 R, and some more for as long as the processes don't know
+of each other.
 """
 
 import heapq
@@ -22,9 +23,9 @@
 
 # A process competes for an endpoint until it has had no request for it for this
 # long. Peers learn of a competitor within half a second.
-COMPETING_S = 4.0
+COMPETING_S = 2.0
 # Time whose share a process may save up and then spend at once.
-SAVED_S = 0.5
+SAVED_S = 1.0
 # Processes that share a limit: a number, and more with the limit. More of them
 # would send too much if each spent one saved request at the same moment.
 MIN_SHARING = 3
@@ -130,6 +131,11 @@
         if allowance is not None:
             allowance.spend()
 
+    def has_limit(self, endpoint_id: str) -> bool:
+        """Returns whether an endpoint states a limit."""
+        peers = self._fetch_peer_shares(endpoint_id)
+        return self._limits.newest(endpoint_id, peers.stated_limit) is not None
+
     def seconds_until_request(self, endpoint_id: str) -> float:
         """Returns when this process may send a request to an endpoint.
 
--- a/libs/dispatch/src/shallotstand/dispatch/slots.py
+++ b/libs/dispatch/src/shallotstand/dispatch/slots.py
@@ -102,11 +102,14 @@
 
         Returns:
           The lowest value of the other endpoints with a free slot; None if it
-          is unknown for all of them.
+          is unknown for all of them. Endpoints that state a limit are left
+          out, since items that run nowhere need their shares.
         """
         measured = (
             self._endpoint_registry.seconds_per_unit(other)
-            for other in self._usable_endpoints(resource_request)
+            for other in self._usable_endpoints(
+                resource_request, has_request=False
+            )
             if other.id != endpoint.id
         )
         return min(
@@ -180,7 +183,7 @@
             )
 
     def _usable_endpoints(
-        self, resource_request: ResourceRequest
+        self, resource_request: ResourceRequest, has_request: bool = True
     ) -> list[Endpoint]:
         """Returns endpoints with a free slot for an item, the best first."""
         return [
@@ -189,6 +192,7 @@
                 resource_request.service,
                 model=resource_request.model,
                 ranking=self._ranking,
+                has_request=has_request,
             )
             if self._endpoint_registry.free_slots(endpoint) > 0
             and (
--- a/libs/dispatch/tests/test_at_limit.py
+++ b/libs/dispatch/tests/test_at_limit.py
@@ -155,3 +155,23 @@
         assert (await environment.serve()).status == 200
 
     asyncio.run(scenario())
+
+
+def test_running_items_compete_for_no_share():
+    # Guards against a gateway whose items all run and that only looks for a
+    # faster engine: the share that it took was missed by items that wait.
+    async def scenario():
+        environment = Environment()
+        environment.add("a", 4.0)
+        environment.add("b")
+        for name in ("a", "b"):
+            endpoint = environment.registry.by_id[name]
+            environment.registry.record_success(endpoint, 0.1)
+        pool = SlotPool(environment.registry)
+        item = ResourceRequest("engines", "model", 1, (0.0,))
+        slow = environment.registry.by_id["b"]
+        assert pool.min_seconds_per_unit(item, slow) is None
+        shares = environment.registry.request_shares.own_shares_by_id()
+        assert not shares["a"].competitors
+
+    asyncio.run(scenario())
