Share limits in proportion to the requests that wait

Gateways now report how many requests wait, and shares follow that number.

The new test keeps the bound while the numbers change at random.

--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -207,7 +207,7 @@
         excluded: frozenset[str] = frozenset(),
         model: str = "",
         ranking: EndpointRanking = _QUEUE_RANKING,
-        has_request: bool = True,
+        waiting: int = 1,
     ) -> list[Endpoint]:
         """Returns the available endpoints of a service, the cheapest first.
 
@@ -216,9 +216,9 @@
           excluded: Identifiers of endpoints that are left out.
           model: Model of the request; empty if any.
           ranking: Orders the endpoints.
-          has_request: Whether a request waits for them. If so, this process
-            competes from now on for those that state a limit; if not, these
-            are left out.
+          waiting: Number of requests that wait for them. With it, this process
+            competes from now on for those that state a limit; if none waits,
+            these are left out.
         """
         mean_seconds_per_unit = self._mean_seconds_per_unit()
         return sorted(
@@ -227,7 +227,7 @@
                 for endpoint in self._active_endpoints(service)
                 if endpoint.id not in excluded
                 and self.is_available(endpoint.id, model)
-                and self._is_below_limit(endpoint.id, has_request)
+                and self.request_shares.allows(endpoint.id, waiting)
             ),
             key=lambda endpoint: ranking.cost(
                 self._view(endpoint, mean_seconds_per_unit)
@@ -249,16 +249,20 @@
         now = self._clock.monotonic()
         return max(health.backoff_until, refused_until) <= now
 
-    def next_retry_in_s(self, service: str) -> float | None:
+    def next_retry_in_s(self, service: str, waiting: int = 1) -> float | None:
         """Returns the seconds until an endpoint may be tried again.
 
+        Args:
+          service: The service.
+          waiting: Number of requests that wait for its endpoints.
+
         Returns:
           The lowest value for the endpoints of the service that are in a
           backoff or at their limit; None if there are none.
         """
         now = self._clock.monotonic()
         limit_waits_s = (
-            self.request_shares.seconds_until_request(endpoint.id)
+            self.request_shares.seconds_until_request(endpoint.id, waiting)
             for endpoint in self._active_endpoints(service)
         )
         backoff_ends = itertools.chain.from_iterable(
@@ -457,11 +461,6 @@
         self.request_shares.remove(endpoint_id)
         logs.event(logging.INFO, "Endpoint gone", endpoint=endpoint_id)
 
-    def _is_below_limit(self, endpoint_id: str, has_request: bool) -> bool:
-        if has_request:
-            return not self.request_shares.seconds_until_request(endpoint_id)
-        return not self.request_shares.has_limit(endpoint_id)
-
     def _peer_shares(self, endpoint_id: str) -> PeerShares:
         state = self._fetch_peer_states().get(endpoint_id)
         return PeerShares() if state is None else state.shares
--- a/libs/dispatch/src/shallotstand/dispatch/request_shares.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_shares.py
@@ -2,8 +2,8 @@
 
 The pattern of load: an engine in need names a few requests a second, while
 many gateways have work for it, each of which knows only its own requests
-exactly. Every gateway therefore spends an equal share of the limit, which it
-works out from the gateways that report to compete for the endpoint.
+exactly. Every gateway therefore spends a share of the limit, in proportion to
+the requests that wait there, which it works out from what the others report.
 
 Bounds, with a limit of R requests a second: at most 3 + 1.5 R processes have a
 share at the same time, and each saves up one request or SAVED_S of its share.
@@ -37,29 +37,47 @@
 PROBES_PER_S = 0.25
 
 
+class Competitor(NamedTuple):
+    """A process that has requests for an endpoint.
+
+    Attributes:
+      process_id: Identifier of the process.
+      waiting: Number of requests that wait there, at least 1.
+    """
+
+    process_id: str
+    waiting: int
+
+
 class PeerShares(NamedTuple):
-    """What peers report about the limit of an endpoint.
+    """What processes report about the limit of an endpoint.
 
     Attributes:
       stated_limit: The newest statement that a response to one of them
         carried; None if there was none.
-      competitors: Identifiers of the processes that have requests for it.
+      competitors: The processes that have requests for it.
     """
 
     stated_limit: StatedLimit | None = None
-    competitors: frozenset[str] = frozenset()
+    competitors: tuple[Competitor, ...] = ()
 
 
 _NO_PEERS = PeerShares()
 
 
 class _Allowance:
-    """Token bucket with the requests that this process may send now."""
+    """Token bucket with the requests that this process may send now.
+
+    Attributes:
+      wanted_at: Monotonic time in seconds at which a request last asked for it.
+      waiting: Number of requests that waited then.
+    """
 
     def __init__(self, now: float):
         self._saved_requests = 0.0
         self._refilled_at = now
         self.wanted_at = now
+        self.waiting = 1
 
     def refill(self, requests_per_s: float, now: float) -> None:
         """Adds the share since the last call, up to what may be saved."""
@@ -131,17 +149,31 @@
         if allowance is not None:
             allowance.spend()
 
-    def has_limit(self, endpoint_id: str) -> bool:
-        """Returns whether an endpoint states a limit."""
+    def allows(self, endpoint_id: str, waiting: int) -> bool:
+        """Returns whether this process may send a request to an endpoint.
+
+        Args:
+          endpoint_id: The endpoint.
+          waiting: Number of requests that wait for it. If there are none, this
+            process does not compete for it, and a limit allows nothing.
+        """
+        if waiting:
+            return not self.seconds_until_request(endpoint_id, waiting)
         peers = self._fetch_peer_shares(endpoint_id)
-        return self._limits.newest(endpoint_id, peers.stated_limit) is not None
+        return self._limits.newest(endpoint_id, peers.stated_limit) is None
 
-    def seconds_until_request(self, endpoint_id: str) -> float:
+    def seconds_until_request(
+        self, endpoint_id: str, waiting: int = 1
+    ) -> float:
         """Returns when this process may send a request to an endpoint.
 
         The process competes for the endpoint from then on, since it has a
         request for it.
 
+        Args:
+          endpoint_id: The endpoint.
+          waiting: Number of requests of this process that wait for it.
+
         Returns:
           Seconds; 0 if it may send one now, infinite if the limit is shared by
           other processes for the time being.
@@ -152,8 +184,9 @@
             self._allowance_by_id.pop(endpoint_id, None)
             return 0.0
         now = self._clock.monotonic()
-        competitors = peers.competitors | {self._process_id}
-        share = self._share(endpoint_id, limit, competitors)
+        own = Competitor(self._process_id, waiting)
+        competitors = (*peers.competitors, own)
+        share = self._share(endpoint_id, limit, own, competitors)
         allowance = self._allowance_by_id.get(endpoint_id)
         if allowance is None or now - allowance.wanted_at > COMPETING_S:
             allowance = self._allowance_by_id[endpoint_id] = _Allowance(now)
@@ -167,42 +200,47 @@
             )
             self._notify()
         allowance.wanted_at = now
+        allowance.waiting = waiting
         allowance.refill(share, now)
         return allowance.seconds_until_request(share)
 
     def own_shares_by_id(self) -> dict[str, PeerShares]:
         """Returns what this process reports to its peers, by endpoint."""
         competing_since = self._clock.monotonic() - COMPETING_S
-        competing_ids = {
-            endpoint_id
+        own_by_id = {
+            endpoint_id: (Competitor(self._process_id, allowance.waiting),)
             for endpoint_id, allowance in self._allowance_by_id.items()
             if allowance.wanted_at >= competing_since
         }
-        own = frozenset({self._process_id})
         return {
             endpoint_id: PeerShares(
                 self._limits.own_by_id.get(endpoint_id),
-                own if endpoint_id in competing_ids else frozenset(),
+                own_by_id.get(endpoint_id, ()),
             )
-            for endpoint_id in competing_ids | self._limits.own_by_id.keys()
+            for endpoint_id in own_by_id.keys() | self._limits.own_by_id.keys()
         }
 
     def _share(
-        self, endpoint_id: str, limit: float, competitors: frozenset[str]
+        self,
+        endpoint_id: str,
+        limit: float,
+        own: Competitor,
+        competitors: tuple[Competitor, ...],
     ) -> float:
         """Returns the requests per second that this process may send."""
         sharing_count = MIN_SHARING + int(SHARING_PER_REQUEST_S * limit)
         if len(competitors) > sharing_count:
             turn = int(self._clock.wall() // ROTATION_S)
             name = f"{endpoint_id}/{turn}"
-            sharing = heapq.nlargest(
+            competitors = heapq.nlargest(
                 sharing_count,
                 competitors,
-                key=lambda process_id: rendezvous.weight(name, process_id),
+                key=lambda one: rendezvous.weight(name, one.process_id),
             )
-            if self._process_id not in sharing:
+            if own not in competitors:
                 return 0.0
-        return max(limit, PROBES_PER_S) / min(len(competitors), sharing_count)
+        total_waiting = sum(one.waiting for one in competitors)
+        return max(limit, PROBES_PER_S) * own.waiting / total_waiting
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- a/libs/dispatch/src/shallotstand/dispatch/slots.py
+++ b/libs/dispatch/src/shallotstand/dispatch/slots.py
@@ -107,9 +107,7 @@
         """
         measured = (
             self._endpoint_registry.seconds_per_unit(other)
-            for other in self._usable_endpoints(
-                resource_request, has_request=False
-            )
+            for other in self._usable_endpoints(resource_request, waiting=0)
             if other.id != endpoint.id
         )
         return min(
@@ -139,7 +137,8 @@
             need = resource_request.need
             if need not in endpoints_by_need:
                 endpoints_by_need[need] = self._usable_endpoints(
-                    resource_request
+                    resource_request,
+                    1 + len(self._waiters) + len(still_waiting),
                 )
             if not endpoints_by_need[need]:
                 still_waiting.append(entry)
@@ -171,10 +170,13 @@
         }
         delays_s = [
             delay_s
-            for delay_s in map(
-                self._endpoint_registry.next_retry_in_s, services
+            for service in services
+            if (
+                delay_s := self._endpoint_registry.next_retry_in_s(
+                    service, len(self._waiters)
+                )
             )
-            if delay_s is not None
+            is not None
         ]
         if delays_s:
             loop = asyncio.get_running_loop()
@@ -183,7 +185,7 @@
             )
 
     def _usable_endpoints(
-        self, resource_request: ResourceRequest, has_request: bool = True
+        self, resource_request: ResourceRequest, waiting: int
     ) -> list[Endpoint]:
         """Returns endpoints with a free slot for an item, the best first."""
         return [
@@ -192,7 +194,7 @@
                 resource_request.service,
                 model=resource_request.model,
                 ranking=self._ranking,
-                has_request=has_request,
+                waiting=waiting,
             )
             if self._endpoint_registry.free_slots(endpoint) > 0
             and (
--- a/libs/dispatch/tests/test_request_shares.py
+++ b/libs/dispatch/tests/test_request_shares.py
@@ -4,12 +4,17 @@
 many gateways have more work than that for it.
 """
 
+import itertools
 import random
 
 import pytest
 from shallotstand.core.clock import ManualClock
 from shallotstand.dispatch import request_shares
-from shallotstand.dispatch.request_shares import PeerShares, RequestShares
+from shallotstand.dispatch.request_shares import (
+    Competitor,
+    PeerShares,
+    RequestShares,
+)
 from shallotstand.dispatch.stated_limits import StatedLimit
 from shallotstand.standins.request_limit import CONTACT_S, RequestLimit
 
@@ -29,6 +34,7 @@
         self.shares.subscribe(lambda: fleet.report(self))
         self.heard_by_peer = {}
         self.is_cut = False
+        self.waiting = 1
         self.next_report_at = fleet.rng.uniform(0, REPORT_INTERVAL_S)
         self._fleet = fleet
 
@@ -45,7 +51,7 @@
                 key=lambda stated: stated.stated_at,
                 default=None,
             ),
-            frozenset().union(*(s.competitors for s in heard)),
+            tuple(itertools.chain.from_iterable(s.competitors for s in heard)),
         )
 
 
@@ -97,7 +103,7 @@
                     gateway.heard_by_peer[sender.name] = (now, shares)
 
     def _try_to_send(self, gateway):
-        if gateway.shares.seconds_until_request("e") > 0:
+        if gateway.shares.seconds_until_request("e", gateway.waiting) > 0:
             return
         gateway.shares.record_send("e")
         headers = self.engine.record_arrival("r")
@@ -229,10 +235,26 @@
     clock = ManualClock()
     shares = RequestShares("g", clock)
     shares.set_peer_shares_source(
-        lambda _: PeerShares(StatedLimit(1.0, 1.0), frozenset({"h"}))
+        lambda _: PeerShares(StatedLimit(1.0, 1.0), (Competitor("h", 1),))
     )
     assert shares.seconds_until_request("e") == pytest.approx(2.0)
     clock.advance(2.0)
     assert shares.seconds_until_request("e") == 0.0
     shares.record_send("e")
     assert shares.seconds_until_request("e") == pytest.approx(2.0)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_shares_follow_the_requests_that_wait(seed):
+    # Guards against a gateway with one item that keeps half of a limit while
+    # another one's whole step waits, and against too much while these change.
+    fleet = SimulatedFleet(4, seed, requests_per_s=20.0)
+    fleet.engine.state(4.0)
+    fleet.run(CONTACT_S)
+    for _ in range(4):
+        for gateway in fleet.gateways:
+            gateway.waiting = fleet.rng.choice((1, 1, 50))
+        before = fleet.engine.count()
+        fleet.run(5.0)
+        assert fleet.engine.count() - before >= 0.7 * 4.0 * 5.0
+    assert fleet.engine.violations() == []
--- a/libs/link/src/shallotstand/link/gateway_messages.py
+++ b/libs/link/src/shallotstand/link/gateway_messages.py
@@ -17,8 +17,8 @@
       statement_age_ms: Milliseconds since its newest statement.
       has_limit: Whether that statement is a limit; if not, it has ended.
       limit_per_1000_s: The limit, in requests per 1,000 seconds.
-      competes: Whether the gateway has requests for the endpoint and so takes
-        a share of its limit.
+      waiting: Number of the gateway's requests that wait for the endpoint, for
+        which it takes a share of the limit; 0 if it takes none.
     """
 
     endpoint: str
@@ -28,7 +28,7 @@
     statement_age_ms: int = 0
     has_limit: bool = False
     limit_per_1000_s: int = 0
-    competes: bool = False
+    waiting: int = 0
 
 
 class Presence(NamedTuple):
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -245,7 +245,7 @@
   statementAgeMs @4 :UInt32;
   hasLimit @5 :Bool;
   limitPer1000S @6 :UInt32;
-  competes @7 :Bool;
+  waiting @7 :UInt16;
 }
 
 struct Presence {
--- a/libs/peers/src/shallotstand/peers/endpoint_uses.py
+++ b/libs/peers/src/shallotstand/peers/endpoint_uses.py
@@ -4,12 +4,14 @@
 from typing import NamedTuple
 
 from shallotstand.dispatch.endpoints import EndpointState
-from shallotstand.dispatch.request_shares import PeerShares
+from shallotstand.dispatch.request_shares import Competitor, PeerShares
 from shallotstand.dispatch.stated_limits import StatedLimit
 from shallotstand.link.gateway_messages import EndpointUse
 
 # Largest value of a 32-bit field of a message.
 _MAX_FIELD = 2**32 - 1
+# Largest value of a 16-bit field of a message.
+_MAX_WAITING = 2**16 - 1
 
 
 class UseReport(NamedTuple):
@@ -42,7 +44,9 @@
         ),
         has_limit=limit is not None,
         limit_per_1000_s=min(_MAX_FIELD, int((limit or 0.0) * 1000)),
-        competes=bool(state.shares.competitors),
+        waiting=min(
+            _MAX_WAITING, sum(one.waiting for one in state.shares.competitors)
+        ),
     )
 
 
@@ -63,8 +67,10 @@
                 key=lambda stated: stated.stated_at,
                 default=None,
             ),
-            frozenset(
-                report.process_id for report in reports if report.use.competes
+            tuple(
+                Competitor(report.process_id, report.use.waiting)
+                for report in reports
+                if report.use.waiting
             ),
         ),
     )
--- a/libs/peers/tests/test_endpoint_uses.py
+++ b/libs/peers/tests/test_endpoint_uses.py
@@ -1,7 +1,7 @@
 """What a gateway knows of endpoints survives the way to its peers."""
 
 from shallotstand.dispatch.endpoints import EndpointState
-from shallotstand.dispatch.request_shares import PeerShares
+from shallotstand.dispatch.request_shares import Competitor, PeerShares
 from shallotstand.dispatch.stated_limits import StatedLimit
 from shallotstand.link.codec import decode, encode
 from shallotstand.link.gateway_messages import Presence
@@ -34,18 +34,21 @@
     return EndpointState(
         1,
         None,
-        PeerShares(StatedLimit(limit, NOW - age_s), frozenset(competitors)),
+        PeerShares(StatedLimit(limit, NOW - age_s), competitors),
     )
 
 
 def test_newest_statement_and_all_competitors_are_merged():
     # Guards against a limit that is lost, doubled or outdated on the way.
     merged = send(
-        state(4.25, 3.0, "own"), state(2.0, 1.0), state(9.0, 2.0, "own")
+        state(4.25, 3.0, Competitor("own", 7)),
+        state(2.0, 1.0),
+        state(9.0, 2.0, Competitor("own", 1)),
     )
     assert merged.running == 3
     assert merged.shares == PeerShares(
-        StatedLimit(2.0, NOW - 1.0), frozenset({"g0", "g2"})
+        StatedLimit(2.0, NOW - 1.0),
+        (Competitor("g0", 7), Competitor("g2", 1)),
     )
 
 
@@ -62,7 +65,7 @@
 def test_values_out_of_range_are_capped():
     # Guards against a presence that can't be encoded, so that the peers take
     # its sender for dead.
-    merged = send(state(1e12, 1e9))
+    merged = send(state(1e12, 1e9, Competitor("own", 10**9)))
     assert merged.shares.stated_limit.requests_per_s > 4e6
 
 
