Compete only for endpoints that can run what waits

Items of a model counted as waiting at engines that have only the other models, and took shares that nobody used.

The version and the free slots are now looked at before a share is asked for, and only the items with the same need are counted. The new test failed before.

--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -208,6 +208,7 @@
         model: str = "",
         ranking: EndpointRanking = _QUEUE_RANKING,
         waiting: int = 1,
+        is_usable: Callable[[Endpoint], bool] = lambda _: True,
     ) -> list[Endpoint]:
         """Returns the available endpoints of a service, the cheapest first.
 
@@ -219,6 +220,8 @@
           waiting: Number of requests that wait for them. With it, this process
             competes from now on for those that state a limit; if none waits,
             these are left out.
+          is_usable: Whether an endpoint can run the request at all; this
+            process does not compete for others.
         """
         mean_seconds_per_unit = self._mean_seconds_per_unit()
         return sorted(
@@ -227,6 +230,7 @@
                 for endpoint in self._active_endpoints(service)
                 if endpoint.id not in excluded
                 and self.is_available(endpoint.id, model)
+                and is_usable(endpoint)
                 and self.request_shares.allows(endpoint.id, waiting)
             ),
             key=lambda endpoint: ranking.cost(
@@ -249,20 +253,16 @@
         now = self._clock.monotonic()
         return max(health.backoff_until, refused_until) <= now
 
-    def next_retry_in_s(self, service: str, waiting: int = 1) -> float | None:
+    def next_retry_in_s(self, service: str) -> float | None:
         """Returns the seconds until an endpoint may be tried again.
 
-        Args:
-          service: The service.
-          waiting: Number of requests that wait for its endpoints.
-
         Returns:
           The lowest value for the endpoints of the service that are in a
           backoff or at their limit; None if there are none.
         """
         now = self._clock.monotonic()
         limit_waits_s = (
-            self.request_shares.seconds_until_request(endpoint.id, waiting)
+            self.request_shares.next_share_in_s(endpoint.id)
             for endpoint in self._active_endpoints(service)
         )
         backoff_ends = itertools.chain.from_iterable(
--- a/libs/dispatch/src/shallotstand/dispatch/request_shares.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_shares.py
@@ -184,9 +184,6 @@
             self._allowance_by_id.pop(endpoint_id, None)
             return 0.0
         now = self._clock.monotonic()
-        own = Competitor(self._process_id, waiting)
-        competitors = (*peers.competitors, own)
-        share = self._share(endpoint_id, limit, own, competitors)
         allowance = self._allowance_by_id.get(endpoint_id)
         if allowance is None or now - allowance.wanted_at > COMPETING_S:
             allowance = self._allowance_by_id[endpoint_id] = _Allowance(now)
@@ -195,14 +192,29 @@
                 "Competes for an endpoint with a limit",
                 endpoint=endpoint_id,
                 requests_per_s=limit,
-                share_per_s=round(share, 4),
-                competitors=len(competitors),
+                waiting=waiting,
+                competitors=len(peers.competitors) + 1,
             )
             self._notify()
         allowance.wanted_at = now
         allowance.waiting = waiting
-        allowance.refill(share, now)
-        return allowance.seconds_until_request(share)
+        return self._wait_s(endpoint_id, limit, peers, allowance)
+
+    def next_share_in_s(self, endpoint_id: str) -> float:
+        """Returns when a share of a limit that this process competes for comes.
+
+        Returns:
+          Seconds; 0 if a request may be sent now or this process does not
+          compete, infinite if others share the limit for the time being.
+        """
+        peers = self._fetch_peer_shares(endpoint_id)
+        limit = self._limits.newest(endpoint_id, peers.stated_limit)
+        allowance = self._allowance_by_id.get(endpoint_id)
+        if limit is None or allowance is None:
+            return 0.0
+        if self._clock.monotonic() - allowance.wanted_at > COMPETING_S:
+            return 0.0
+        return self._wait_s(endpoint_id, limit, peers, allowance)
 
     def own_shares_by_id(self) -> dict[str, PeerShares]:
         """Returns what this process reports to its peers, by endpoint."""
@@ -220,6 +232,18 @@
             for endpoint_id in own_by_id.keys() | self._limits.own_by_id.keys()
         }
 
+    def _wait_s(
+        self,
+        endpoint_id: str,
+        limit: float,
+        peers: PeerShares,
+        allowance: _Allowance,
+    ) -> float:
+        own = Competitor(self._process_id, allowance.waiting)
+        share = self._share(endpoint_id, limit, own, (*peers.competitors, own))
+        allowance.refill(share, self._clock.monotonic())
+        return allowance.seconds_until_request(share)
+
     def _share(
         self,
         endpoint_id: str,
--- a/libs/dispatch/src/shallotstand/dispatch/slots.py
+++ b/libs/dispatch/src/shallotstand/dispatch/slots.py
@@ -1,6 +1,7 @@
 """Assigns free slots of endpoints to batch items, the most urgent first."""
 
 import asyncio
+import collections
 import heapq
 import itertools
 from typing import NamedTuple
@@ -129,6 +130,11 @@
             self._assignment_timer = None
         still_waiting = []
         endpoints_by_need: dict[_Need, list[Endpoint]] = {}
+        waiting_by_need = collections.Counter(
+            resource_request.need
+            for _, _, resource_request, future in self._waiters
+            if not future.done()
+        )
         while self._waiters:
             entry = heapq.heappop(self._waiters)
             _, _, resource_request, future = entry
@@ -138,7 +144,7 @@
             if need not in endpoints_by_need:
                 endpoints_by_need[need] = self._usable_endpoints(
                     resource_request,
-                    1 + len(self._waiters) + len(still_waiting),
+                    waiting_by_need[need],
                 )
             if not endpoints_by_need[need]:
                 still_waiting.append(entry)
@@ -150,6 +156,7 @@
                 endpoint, resource_request.model
             )
             future.set_result(endpoint)
+            waiting_by_need[need] -= 1
             # The endpoint may be full now, and its cost has changed. Where no
             # endpoint was usable, none is usable now.
             endpoints_by_need = {
@@ -170,13 +177,10 @@
         }
         delays_s = [
             delay_s
-            for service in services
-            if (
-                delay_s := self._endpoint_registry.next_retry_in_s(
-                    service, len(self._waiters)
-                )
+            for delay_s in map(
+                self._endpoint_registry.next_retry_in_s, services
             )
-            is not None
+            if delay_s is not None
         ]
         if delays_s:
             loop = asyncio.get_running_loop()
@@ -188,23 +192,27 @@
         self, resource_request: ResourceRequest, waiting: int
     ) -> list[Endpoint]:
         """Returns endpoints with a free slot for an item, the best first."""
-        return [
-            endpoint
-            for endpoint in self._endpoint_registry.candidates(
-                resource_request.service,
-                model=resource_request.model,
-                ranking=self._ranking,
-                waiting=waiting,
-            )
-            if self._endpoint_registry.free_slots(endpoint) > 0
-            and (
-                not resource_request.model
-                or self._endpoint_registry.model_version(
-                    endpoint, resource_request.model
-                )
-                >= resource_request.min_version
+        return self._endpoint_registry.candidates(
+            resource_request.service,
+            model=resource_request.model,
+            ranking=self._ranking,
+            waiting=waiting,
+            is_usable=lambda endpoint: self._can_run(
+                endpoint, resource_request
+            ),
+        )
+
+    def _can_run(
+        self, endpoint: Endpoint, resource_request: ResourceRequest
+    ) -> bool:
+        """Returns whether an endpoint has a slot and an item's version."""
+        return self._endpoint_registry.free_slots(endpoint) > 0 and (
+            not resource_request.model
+            or self._endpoint_registry.model_version(
+                endpoint, resource_request.model
             )
-        ]
+            >= resource_request.min_version
+        )
 
 
 def _pick_endpoint(
--- a/libs/dispatch/tests/test_at_limit.py
+++ b/libs/dispatch/tests/test_at_limit.py
@@ -175,3 +175,33 @@
         assert not shares["a"].competitors
 
     asyncio.run(scenario())
+
+
+def test_items_compete_for_no_endpoint_that_cannot_run_them():
+    # Guards against shares of engines that have another model or an older
+    # version: nobody used them while items that could waited.
+    async def scenario():
+        environment = Environment()
+        environment.add("old", 4.0)
+        environment.add("other", 4.0)
+        environment.registry.update_endpoint(
+            make_endpoint("other", version_by_model={"other": 9})
+        )
+        environment.registry.update_endpoint(
+            make_endpoint("fit", version_by_model={"model": 2})
+        )
+        environment.state_limit("fit", 0.5)
+        pool = SlotPool(environment.registry)
+        item = ResourceRequest("engines", "model", 2, (0.0,))
+        waiting = [asyncio.create_task(pool.acquire(item)) for _ in range(3)]
+        await asyncio.sleep(0.1)
+        shares = environment.registry.request_shares.own_shares_by_id()
+        competing = {name: s.competitors for name, s in shares.items()}
+        assert competing["fit"][0].waiting == 3
+        assert not competing["old"]
+        assert not competing["other"]
+        for task in waiting:
+            task.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+
+    asyncio.run(scenario())
