Compare a Failure with a Failure in the test of job holders

It compared with a tuple of three fields; a Failure has a fourth one since callers are told when to come back. All fields are compared as before.

--- a/apps/entry/tests/test_rollout_service.py
+++ b/apps/entry/tests/test_rollout_service.py
@@ -241,7 +241,6 @@
             await job.fetch(0, 1),
             await job.acknowledge(0, "x"),
         ):
-            expected = (ResultCode.NOT_JOB_HOLDER, "127.0.0.1:7", ())
-            assert refused == expected
+            assert refused == Failure(ResultCode.NOT_JOB_HOLDER, "127.0.0.1:7")
 
     run(check)
