Show that a crashing request reaches engine after engine

Callers: a request under which engines end comes again under new identifiers and ends an engine, or two, each time; sound requests beside it find no engine.

--- a/apps/standins/src/shallotstand/standins/fleet.py
+++ b/apps/standins/src/shallotstand/standins/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import os
 import pathlib
 import signal
@@ -120,6 +121,7 @@
         directory: pathlib.Path,
         gateways: int = 2,
         checks_fences: bool = True,
+        more_engines: tuple[FleetEngine, ...] = (),
     ):
         """Creates a deployment.
 
@@ -128,13 +130,15 @@
           gateways: Number of gateways.
           checks_fences: Whether the platform and the engines refuse calls with
             outdated fencing tokens.
+          more_engines: Engines beside the usual ones.
         """
+        self.more_engines = more_engines
         self.platform = FleetPlatform(checks_fences)
         self.engines = [
             FleetEngine(name, checks_fences=checks_fences)
             for name in ("e1", "e2")
         ]
-        self.plain_engine = FleetEngine("p1", pause_s=0.01)
+        self.plain_engine = FleetEngine("p1", pause_s=0.01, service="plain")
         self.gateways = [
             Machine(f"gateway-{n}", "gateway", directory)
             for n in range(gateways)
@@ -160,12 +164,10 @@
     async def _start(self) -> None:
         self.address = await self.platform.start()
         await self.platform.put("config", "main", configuration(1))
-        for engine in (*self.engines, self.plain_engine):
-            address = await engine.start()
-            is_plain = engine is self.plain_engine
-            await self.platform.put(
-                "servers", engine.name, server_spec(address, is_plain)
-            )
+        for engine in self._all_engines():
+            await engine.start()
+            engine.on_start = functools.partial(self.register, engine)
+            await self.register(engine)
         await asyncio.gather(
             *(
                 machine.start(self.address)
@@ -179,10 +181,19 @@
         for machine in (*self.gateways, *self.keepers):
             if machine.process and machine.process.returncode is None:
                 await machine.stop(signal.SIGKILL)
-        for engine in (*self.engines, self.plain_engine):
+        for engine in self._all_engines():
             await engine.stop()
         await self.platform.stop()
 
+    def _all_engines(self) -> tuple[FleetEngine, ...]:
+        return (*self.engines, self.plain_engine, *self.more_engines)
+
+    async def register(self, engine: FleetEngine, state: str = "ready") -> None:
+        """Writes the entry of an engine to the platform's list."""
+        await self.platform.put(
+            "servers", engine.name, {**server_spec(engine), "state": state}
+        )
+
     async def call(
         self,
         gateway: Machine,
@@ -253,6 +264,24 @@
                 "service": "plain",
                 "max_attempts": 2,
             },
+            {
+                **common,
+                "name": "fragile",
+                "path_prefix": "/fragile/",
+                "kind": "safe",
+                "service": "fragile",
+                "max_attempts": 2,
+            },
+            {
+                **common,
+                "name": "events",
+                "path_prefix": "/events/",
+                "kind": "streaming",
+                "resumable": True,
+                "service": "writers",
+                "timeout_ms": 15000,
+                "max_attempts": 4,
+            },
             {
                 **common,
                 "name": "scores",
@@ -274,16 +303,18 @@
     }
 
 
-def server_spec(address: str, is_plain: bool) -> dict:
+def server_spec(engine: FleetEngine) -> dict:
     """Returns the object that registers an engine with the platform."""
+    has_model = engine.service == "engines"
     return {
-        "service": "plain" if is_plain else "engines",
-        "address": address,
+        "service": engine.service,
+        "address": engine.address,
         "zone": "zone-a",
         "slots": 8,
         "state": "ready",
-        "born": 1700000000000,
-        "models": [] if is_plain else [{"name": "model", "version": 1}],
+        "version": engine.software_version or "1.0",
+        "born": engine.started_ms,
+        "models": [{"name": "model", "version": 1}] if has_model else [],
         "seq": 1,
     }
 
--- a/apps/standins/src/shallotstand/standins/fleet_engine.py
+++ b/apps/standins/src/shallotstand/standins/fleet_engine.py
@@ -1,6 +1,8 @@
 """An HTTP engine of the fleet platform: responses, streams and orders."""
 
 import asyncio
+import time
+from collections.abc import Awaitable, Callable
 
 import orjson
 from aiohttp import web
@@ -10,6 +12,10 @@
 _ATTEMPT_ID_HEADER = "X-Shallotstand-Attempt-Id"
 _SEAL_HEADER = "X-Shallotstand-Server-Seal"
 _VERSIONS_HEADER = "X-Shallotstand-Weight-Versions"
+# Time for which an engine runs a request that makes it crash, and time until it
+# is back.
+CRASH_DELAY_S = 0.02
+RESTART_AFTER_S = 1.0
 
 
 class FleetEngine:
@@ -22,6 +28,16 @@
       accepted_orders: Orders that it accepted: holder, fencing token, version.
       duty_calls: All orders that arrived.
       limit: The limit that it states in its responses, and what arrived.
+      service: Service that it belongs to.
+      software_version: Version of its software; its events name it unless it
+        is empty.
+      crashing_body: Content of the requests that make it crash; none if empty.
+      arrivals_of_crashing: Monotonic times in seconds at which it began to run
+        such requests.
+      events_until_break: Events after which it breaks a stream off; 0 if it
+        never does.
+      started_ms: Time of its last start in Unix milliseconds.
+      on_start: Called after it has started again.
     """
 
     def __init__(
@@ -30,6 +46,8 @@
         event_count: int = 20,
         pause_s: float = 0.05,
         checks_fences: bool = True,
+        service: str = "engines",
+        software_version: str = "",
     ):
         """Creates an engine.
 
@@ -38,6 +56,8 @@
           event_count: Number of events in each text.
           pause_s: Seconds before each event, and before a plain response.
           checks_fences: Whether it refuses orders with outdated tokens.
+          service: Service that it belongs to.
+          software_version: Version of its software.
         """
         self.name = name
         self.version = 1
@@ -45,9 +65,19 @@
         self.accepted_orders: list[tuple[str, int, int]] = []
         self.duty_calls = DutyCallLog(checks_fences)
         self.limit = RequestLimit()
+        self.service = service
+        self.software_version = software_version
+        self.crashing_body = b""
+        self.arrivals_of_crashing: list[float] = []
+        self.events_until_break = 0
+        self.started_ms = 1_700_000_000_000
+        self.address = ""
+        self.on_start: Callable[[], Awaitable[None]] | None = None
         self._event_count = event_count
         self._pause_s = pause_s
         self._runner: web.AppRunner | None = None
+        self._site: web.TCPSite | None = None
+        self._restart_task: asyncio.Task | None = None
 
     async def start(self) -> str:
         """Listens on the loopback interface and returns the address."""
@@ -55,6 +85,7 @@
         app.router.add_get("/shallotstand/report", self._handle_report)
         app.router.add_post("/shallotstand/order", self._handle_order)
         app.router.add_post("/rollouts/{tail:.*}", self._handle_stream)
+        app.router.add_post("/events/{tail:.*}", self._handle_stream)
         app.router.add_route("*", "/{tail:.*}", self._handle_plain)
         self._runner = web.AppRunner(
             app,
@@ -63,16 +94,54 @@
             shutdown_timeout=0.1,
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", 0)
-        await site.start()
+        await self._listen(0)
         host, port = self._runner.addresses[0][:2]
-        return f"{host}:{port}"
+        self.address = f"{host}:{port}"
+        return self.address
 
     async def stop(self) -> None:
         """Stops listening."""
+        if self._restart_task is not None:
+            self._restart_task.cancel()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def crash(self, restart_after_s: float) -> None:
+        """Resets all connections; starts again at the same address later."""
+        if self._restart_task is not None and not self._restart_task.done():
+            return
+        await self._site.stop()
+        self.reset_connections()
+        self._restart_task = asyncio.create_task(self._restart(restart_after_s))
+
+    def reset_connections(self) -> None:
+        """Resets all connections, also those with a request under way."""
+        for protocol in self._runner.server.connections:
+            if protocol.transport is not None:
+                protocol.transport.abort()
+
+    async def _restart(self, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        self.started_ms = int(time.time() * 1000)
+        await self._listen(int(self.address.rpartition(":")[2]))
+        if self.on_start is not None:
+            await self.on_start()
+
+    async def _listen(self, port: int) -> None:
+        self._site = web.TCPSite(
+            self._runner, "127.0.0.1", port, reuse_address=True
+        )
+        await self._site.start()
+
+    async def _crash_if_told(self, request: web.Request) -> None:
+        """Crashes if the request is one that it can't survive."""
+        body = await request.read()
+        if not self.crashing_body or body != self.crashing_body:
+            return
+        self.arrivals_of_crashing.append(time.monotonic())
+        await asyncio.sleep(CRASH_DELAY_S)
+        await self.crash(RESTART_AFTER_S)
+
     def item_text(self, item_id: str) -> str:
         """Returns the complete text that is generated for an item."""
         return "\n".join(
@@ -83,6 +152,7 @@
         request_id = request.headers[_ATTEMPT_ID_HEADER]
         limit_headers = self.limit.record_arrival(request_id)
         self.started_requests.append(request_id)
+        await self._crash_if_told(request)
         await asyncio.sleep(self._pause_s)
         headers = {
             **limit_headers,
@@ -95,6 +165,7 @@
         request_id = request.headers[_ATTEMPT_ID_HEADER]
         limit_headers = self.limit.record_arrival(request_id)
         self.started_requests.append(request_id)
+        await self._crash_if_told(request)
         response = web.StreamResponse(
             headers={
                 **limit_headers,
@@ -107,9 +178,15 @@
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         announced_version = self.version
         for number in range(first, self._event_count + 1):
+            if number - first == self.events_until_break > 0:
+                request.transport.abort()
+                return response
             await asyncio.sleep(self._pause_s)
             version_field = f"{_VERSIONS_HEADER.lower()}: {self.version}\n"
-            event = f"id: {number}\ndata: {request_id} {number}\n\n"
+            text = f"{request_id} {number}"
+            if self.software_version:
+                text = f"{text} {self.software_version}"
+            event = f"id: {number}\ndata: {text}\n\n"
             if announced_version != self.version:
                 announced_version, event = self.version, version_field + event
             await response.write(event.encode())
