Log which request broke off at which start of an endpoint

Cause of this change: the identifier of a caller's request is new each time that it is sent, so the logs could not show that one request ended several engines, nor which requests ran beside it.

--- a/libs/dispatch/src/shallotstand/dispatch/plain.py
+++ b/libs/dispatch/src/shallotstand/dispatch/plain.py
@@ -17,6 +17,7 @@
     EndpointResponse,
 )
 from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
+from shallotstand.dispatch.fingerprint import fingerprint
 
 # A request that has no response yet after this share of the latency objective
 # is also sent to a second endpoint. An average request has finished by then; if
@@ -165,6 +166,23 @@
     )
 
 
+def log_cut_off(
+    endpoint_request: EndpointRequest, endpoint: Endpoint, failure: Failure
+) -> None:
+    """Logs that a request broke off, with an identity that its copies share."""
+    if failure.code != ResultCode.ANSWER_CUT:
+        return
+    logs.event(
+        logging.INFO,
+        "Attempt cut off",
+        request=endpoint_request.request_id,
+        fingerprint=fingerprint(endpoint_request).hex(),
+        endpoint=endpoint.id,
+        started_ms=endpoint.started_ms,
+        reason=failure.reason,
+    )
+
+
 class _RequestAttempts:
     """The attempts of one request, including retries and hedges."""
 
@@ -336,6 +354,7 @@
                 return None
             self._update_first_started_at(attempt)
             self._last_failure = outcome
+            log_cut_off(self._endpoint_request, endpoint, outcome)
             self._endpoint_registry.record_outcome(endpoint, has_failed=True)
             self._endpoint_registry.record_failure(
                 endpoint, outcome.reason, attempt.started_at
--- a/libs/dispatch/src/shallotstand/dispatch/streams.py
+++ b/libs/dispatch/src/shallotstand/dispatch/streams.py
@@ -17,7 +17,7 @@
     StreamEvent,
 )
 from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
-from shallotstand.dispatch.plain import at_limit_failure
+from shallotstand.dispatch.plain import at_limit_failure, log_cut_off
 
 # Longest gap between events before a stream resumes on another endpoint. A
 # stream that can't resume has until its deadline, since a slow endpoint may
@@ -130,6 +130,7 @@
             if failure is None:
                 self.close()
                 return
+            log_cut_off(self._endpoint_request, self._endpoint, failure)
             self._endpoint_registry.record_failure(
                 self._endpoint, failure.reason, self._attempt_started_at
             )
@@ -249,6 +250,7 @@
             self._endpoint_registry.record_refusal(endpoint)
             return
         if isinstance(outcome, Failure):
+            log_cut_off(self._endpoint_request, endpoint, outcome)
             self._endpoint_registry.record_failure(
                 endpoint, outcome.reason, self._attempt_started_at
             )
