Refuse requests under which endpoints end again and again

Callers: a request under which three engines had ended was sent to engines many times more, and each copy ended up to two of them; sound requests found no engine.

Cause: gateways knew a request by its identifier only, which is new each time that it comes. Nothing joined its copies, within a process or over several.

Change: a request that is cut off is a suspect under a hash of its content. Gateways share suspects at once and keep those with two crashes in the store. With three crashes it is refused as not run, and tried again twice at most. Responses clear a request; so does a registry that shows that the endpoint lives on.

--- a/apps/gateway/src/shallotstand/gateway/batching.py
+++ b/apps/gateway/src/shallotstand/gateway/batching.py
@@ -53,6 +53,7 @@
       batch_registry: The batches in the batch log.
       service: Handles callers' requests about batches.
       peer_registry: Addresses of the other gateways.
+      mesh: Connections to the other gateways.
       placement: Chooses which process runs a batch that this process accepts.
     """
 
@@ -78,24 +79,24 @@
         self.batch_registry = BatchRegistry()
         log = BatchLog(store, self.batch_registry, clock)
         self.peer_registry = PeerRegistry(store, identity.address)
-        self._mesh = PeerMesh(
+        self.mesh = PeerMesh(
             identity.address, self.peer_registry, make_presence, clock
         )
-        store.set_peers(self._mesh)
-        self._mesh.register_handler(
+        store.set_peers(self.mesh)
+        self.mesh.register_handler(
             StoreChanges, lambda message, _: store.receive_changes(message)
         )
         serving.endpoint_registry.set_peer_states_source(
-            self._mesh.states_by_endpoint
+            self.mesh.states_by_endpoint
         )
         serving.endpoint_registry.request_shares.subscribe(
-            self._mesh.announce_change
+            self.mesh.announce_change
         )
         self._checkpoints = Checkpoints(store, boot.instance)
         pool = SlotPool(serving.endpoint_registry)
         # Slots that a peer releases are assigned to items that wait in this
         # process.
-        self._mesh.subscribe(pool.schedule_assignment)
+        self.mesh.subscribe(pool.schedule_assignment)
         dependencies = ItemRunDependencies(
             serving.endpoint_registry,
             pool,
@@ -110,14 +111,14 @@
             log,
             clock,
             self._is_running_locally,
-            PeerBatchRequests(self._mesh, self._handle_peer_request),
+            PeerBatchRequests(self.mesh, self._handle_peer_request),
             process_id,
         )
         self.placement = BatchPlacement(
             process_id,
             boot.zone,
             int(boot.processor_share * 100),
-            self._mesh,
+            self.mesh,
             lambda: sum(
                 state.running
                 for state in (
@@ -129,7 +130,7 @@
             dependencies,
             self.batch_registry,
             log,
-            MeshOwnership(process_id, boot.instance, self._mesh, clock),
+            MeshOwnership(process_id, boot.instance, self.mesh, clock),
             self._checkpoints,
             process_id,
             self.service.load,
@@ -138,7 +139,7 @@
             self.batch_registry,
             log,
             boot.result_retention_s,
-            self._mesh.is_preferred_owner,
+            self.mesh.is_preferred_owner,
             clock,
         )
 
@@ -146,7 +147,7 @@
         """Returns the tasks to start once the batch log has been read."""
         return (
             self.peer_registry.register,
-            self._mesh.run,
+            self.mesh.run,
             self._runner.run,
             self._checkpoints.run,
             self._retention.run,
@@ -168,4 +169,4 @@
         """Stops running batches, so that other processes take them over."""
         await self._checkpoints.write_final(FINAL_WRITE_TIMEOUT_S)
         await self._runner.stop()
-        self._mesh.broadcast_presence()
+        self.mesh.broadcast_presence()
--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -34,6 +34,7 @@
     make_store_call_counter,
 )
 from shallotstand.observe.metrics import Metrics
+from shallotstand.peers.crash_sharing import CrashSharing
 from shallotstand.peers.endpoint_uses import make_use
 from shallotstand.peers.registry import GATEWAYS_KIND
 from shallotstand.peers.shared_store import SharedStore
@@ -88,6 +89,13 @@
             self._make_presence,
             self._clock,
         )
+        self._crash_sharing = CrashSharing(
+            self._serving.crash_record,
+            self._batch_subsystem.mesh,
+            self._store,
+            boot.instance,
+            self._clock,
+        )
         self._usage_writer = UsageWriter(
             self._store, self._serving.usage_meter, process_id, self._clock
         )
@@ -99,6 +107,9 @@
             self._receive_endpoint_change,
             ENDPOINT_WATCH_PAUSE_S,
         )
+        self._serving.crash_record.is_registry_current = lambda: (
+            self._endpoint_watcher.failing_since is None
+        )
         self._batch_watcher = self._make_watcher(
             BATCH_LOG_KIND,
             self._batch_subsystem.batch_registry.receive_change,
@@ -161,6 +172,7 @@
         """
         await self._config_watcher.wait_synced()
         await self._endpoint_watcher.wait_synced()
+        await self._crash_sharing.load()
         self._frontend_server = await _listen(
             self._frontend.make_app(), self._boot.caller_address
         )
@@ -177,6 +189,7 @@
                 (
                     *self._batch_subsystem.background_tasks(),
                     self._usage_writer.run,
+                    self._crash_sharing.run,
                 )
             )
         )
--- a/apps/gateway/src/shallotstand/gateway/serving.py
+++ b/apps/gateway/src/shallotstand/gateway/serving.py
@@ -6,6 +6,7 @@
 from shallotstand.adapter.boot import BootSettings
 from shallotstand.adapter.engines import HttpEndpointClient
 from shallotstand.core.clock import Clock
+from shallotstand.dispatch.crash_record import CrashRecord
 from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.plain import UnaryDispatcher
 from shallotstand.dispatch.request_handler import RequestHandler
@@ -19,6 +20,7 @@
       client: Sends requests to endpoints.
       endpoint_registry: The endpoints with their load and health.
       unary_dispatcher: Serves requests whose response is not streamed.
+      crash_record: Requests under which endpoints ended.
       usage_meter: Counts requests for the usage report.
       request_handler: Admits and dispatches requests.
     """
@@ -45,6 +47,7 @@
         self.unary_dispatcher = UnaryDispatcher(
             self.endpoint_registry, self.client, clock, random.Random()
         )
+        self.crash_record = CrashRecord(self.endpoint_registry.by_id, clock)
         self.usage_meter = UsageMeter(boot.usage_window_s, clock)
         self.request_handler = RequestHandler(
             self.endpoint_registry,
@@ -52,4 +55,5 @@
             self.unary_dispatcher,
             self.usage_meter,
             clock,
+            self.crash_record,
         )
--- a/libs/core/src/shallotstand/core/codes.py
+++ b/libs/core/src/shallotstand/core/codes.py
@@ -36,6 +36,7 @@
     SUSPECT_BUSY = 1018
     DEADLINE_PASSED = 1019
     ENDPOINTS_AT_LIMIT = 1020
+    ENDPOINTS_CRASH = 1021
 
     ANSWER_CUT = 2001
     LINK_LOST = 2002
@@ -168,6 +169,9 @@
     ResultCode.ENDPOINTS_AT_LIMIT: CodeInfo(
         503, "All endpoints of the service get as many requests as they accept."
     ),
+    ResultCode.ENDPOINTS_CRASH: CodeInfo(
+        503, "Endpoints end each time that they run this request."
+    ),
     ResultCode.ANSWER_CUT: CodeInfo(
         502, "The endpoint's response ended early; the outcome is unknown."
     ),
--- a/libs/dispatch/src/shallotstand/dispatch/plain.py
+++ b/libs/dispatch/src/shallotstand/dispatch/plain.py
@@ -10,6 +10,7 @@
 from shallotstand.core.codes import ResultCode, is_not_run
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import Route
+from shallotstand.dispatch.crash_guard import CrashGuard, Unguarded
 from shallotstand.dispatch.endpoint_client import (
     CallerRequest,
     EndpointClient,
@@ -37,6 +38,9 @@
 MAX_REFUSALS = 8
 
 
+_UNGUARDED = Unguarded()
+
+
 class ServeResult(NamedTuple):
     """The result of serving a request.
 
@@ -80,6 +84,7 @@
         endpoint_request: EndpointRequest,
         started_at: float,
         budget_s: float,
+        guard: CrashGuard = _UNGUARDED,
     ) -> ServeResult:
         """Serves a request.
 
@@ -89,6 +94,7 @@
           started_at: Monotonic time in seconds at which it arrived.
           budget_s: Seconds after `started_at` within which it has to be
             answered.
+          guard: Keeps the request from crashing endpoint after endpoint.
 
         Returns:
           The result. A Failure with a code in `NOT_RUN_RANGE` means that no
@@ -101,6 +107,7 @@
             self._clock,
             route,
             endpoint_request,
+            guard,
         )
         try:
             async with asyncio.timeout(
@@ -170,8 +177,6 @@
     endpoint_request: EndpointRequest, endpoint: Endpoint, failure: Failure
 ) -> None:
     """Logs that a request broke off, with an identity that its copies share."""
-    if failure.code != ResultCode.ANSWER_CUT:
-        return
     logs.event(
         logging.INFO,
         "Attempt cut off",
@@ -193,7 +198,9 @@
         clock: Clock,
         route: Route,
         endpoint_request: EndpointRequest,
+        guard: CrashGuard,
     ):
+        self._guard = guard
         self._endpoint_registry = endpoint_registry
         self._client = client
         self._clock = clock
@@ -272,6 +279,8 @@
             return False
         if self._may_have_run() and not self._route.is_repeatable:
             return False
+        if self.send_count and not self._guard.may_send_again():
+            return False
         return self.send_count < max(1, self._route.max_attempts)
 
     def _may_hedge(self) -> bool:
@@ -354,12 +363,15 @@
                 return None
             self._update_first_started_at(attempt)
             self._last_failure = outcome
-            log_cut_off(self._endpoint_request, endpoint, outcome)
+            if outcome.code == ResultCode.ANSWER_CUT:
+                log_cut_off(self._endpoint_request, endpoint, outcome)
+                self._guard.record_cut(endpoint)
             self._endpoint_registry.record_outcome(endpoint, has_failed=True)
             self._endpoint_registry.record_failure(
                 endpoint, outcome.reason, attempt.started_at
             )
             return None
+        self._guard.record_response()
         self._update_first_started_at(attempt)
         took_s = self._clock.monotonic() - attempt.started_at
         self._endpoint_registry.record_acceptance(endpoint)
--- a/libs/dispatch/src/shallotstand/dispatch/request_handler.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_handler.py
@@ -8,6 +8,8 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import ClientAccount, Configuration, Route
+from shallotstand.dispatch.crash_guard import RecordedRequest
+from shallotstand.dispatch.crash_record import CrashRecord
 from shallotstand.dispatch.endpoint_client import (
     CallerRequest,
     EndpointClient,
@@ -53,7 +55,9 @@
         unary_dispatcher: UnaryDispatcher,
         usage_meter: UsageMeter,
         clock: Clock,
+        crash_record: CrashRecord,
     ):
+        self._crash_record = crash_record
         self._endpoint_registry = endpoint_registry
         self._client = client
         self._unary_dispatcher = unary_dispatcher
@@ -117,11 +121,18 @@
     ) -> EndpointResponse | Failure:
         """Serves a request with a unary response."""
         route = admitted.route
+        endpoint_request = build_endpoint_request(
+            request, route, admitted.account_name
+        )
+        guard = RecordedRequest(self._crash_record, endpoint_request)
+        if (refusal := guard.refusal()) is not None:
+            return self._refuse(request, refusal)
         result = await self._unary_dispatcher.serve(
             route,
-            build_endpoint_request(request, route, admitted.account_name),
+            endpoint_request,
             self._clock.monotonic(),
             _budget_s(request, route),
+            guard,
         )
         if result.started_ago_s is not None and admitted.account is not None:
             self._usage_meter.count_request(
@@ -141,15 +152,20 @@
           A stream, which must be closed; the response of an endpoint that
           answered without a stream; or the reason why there is neither.
         """
+        endpoint_request = build_endpoint_request(
+            request, admitted.route, admitted.account_name
+        )
+        guard = RecordedRequest(self._crash_record, endpoint_request)
+        if (refusal := guard.refusal()) is not None:
+            return self._refuse(request, refusal)
         stream = CallerStream(
             self._endpoint_registry,
             self._client,
             self._clock,
             admitted.route,
-            build_endpoint_request(
-                request, admitted.route, admitted.account_name
-            ),
+            endpoint_request,
             self._clock.monotonic() + _budget_s(request, admitted.route),
+            guard,
         )
         answer = await stream.open()
         if stream.first_started_at is not None and admitted.account is not None:
--- a/libs/dispatch/src/shallotstand/dispatch/streams.py
+++ b/libs/dispatch/src/shallotstand/dispatch/streams.py
@@ -9,6 +9,7 @@
 from shallotstand.core.codes import ResultCode, is_not_run
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import Route
+from shallotstand.dispatch.crash_guard import CrashGuard, Unguarded
 from shallotstand.dispatch.endpoint_client import (
     EndpointClient,
     EndpointRequest,
@@ -19,6 +20,7 @@
 from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
 from shallotstand.dispatch.plain import at_limit_failure, log_cut_off
 
+_UNGUARDED = Unguarded()
 # Longest gap between events before a stream resumes on another endpoint. A
 # stream that can't resume has until its deadline, since a slow endpoint may
 # still complete it.
@@ -46,8 +48,10 @@
         route: Route,
         endpoint_request: EndpointRequest,
         deadline: float,
+        guard: CrashGuard = _UNGUARDED,
     ):
         self._deadline = deadline
+        self._guard = guard
         self._endpoint_registry = endpoint_registry
         self._client = client
         self._clock = clock
@@ -82,6 +86,8 @@
         not_run = Failure(ResultCode.NO_ENDPOINT, "No endpoint is available.")
         ran: EndpointResponse | Failure | None = None
         while len(self._tried_endpoint_ids) < max(1, self._route.max_attempts):
+            if ran is not None and not self._guard.may_send_again():
+                break
             candidates = self._candidates()
             if not candidates:
                 limit_wait_s = self._limit_wait_s()
@@ -92,6 +98,8 @@
             if isinstance(outcome, Failure) and is_not_run(outcome.code):
                 not_run = outcome
                 continue
+            if isinstance(outcome, EndpointResponse):
+                self._guard.record_response()
             if not isinstance(outcome, Failure | EndpointResponse):
                 self.status, self.headers = outcome.status, outcome.headers
                 return None
@@ -128,9 +136,10 @@
                 self._endpoint, has_failed=failure is not None
             )
             if failure is None:
+                self._guard.record_response()
                 self.close()
                 return
-            log_cut_off(self._endpoint_request, self._endpoint, failure)
+            self._record_cut(self._endpoint, failure)
             self._endpoint_registry.record_failure(
                 self._endpoint, failure.reason, self._attempt_started_at
             )
@@ -140,6 +149,11 @@
                 yield resume_failure
                 return
 
+    def _record_cut(self, endpoint: Endpoint, failure: Failure) -> None:
+        if failure.code == ResultCode.ANSWER_CUT:
+            log_cut_off(self._endpoint_request, endpoint, failure)
+            self._guard.record_cut(endpoint)
+
     async def _next_event(
         self, events: AsyncIterator[StreamEvent | Failure]
     ) -> StreamEvent | Failure | None:
@@ -250,7 +264,7 @@
             self._endpoint_registry.record_refusal(endpoint)
             return
         if isinstance(outcome, Failure):
-            log_cut_off(self._endpoint_request, endpoint, outcome)
+            self._record_cut(endpoint, outcome)
             self._endpoint_registry.record_failure(
                 endpoint, outcome.reason, self._attempt_started_at
             )
@@ -268,6 +282,7 @@
         """Returns the endpoints on which the stream may resume now."""
         may_resume = (
             self._route.is_resumable
+            and self._guard.may_send_again()
             and len(self._tried_endpoint_ids) < max(1, self._route.max_attempts)
             and self._clock.monotonic() < self._deadline
         )
--- a/libs/link/src/shallotstand/link/gateway_messages.py
+++ b/libs/link/src/shallotstand/link/gateway_messages.py
@@ -1,6 +1,6 @@
 """Typed messages between gateways; their schema is in `messages.capnp`."""
 
-from typing import NamedTuple
+from typing import NamedTuple, TypeAlias
 
 
 class EndpointUse(NamedTuple):
@@ -95,6 +95,36 @@
     objects: tuple[StoredObject, ...]
 
 
+class CrashReport(NamedTuple):
+    """The end of an endpoint, or of its connection, while it ran a request.
+
+    Attributes:
+      fingerprint: The request.
+      endpoint: Name of the endpoint.
+      started_ms: Start of the endpoint, in Unix milliseconds.
+      age_ms: Milliseconds since the end.
+      is_confirmed: Whether the endpoint is known to have ended.
+    """
+
+    fingerprint: bytes
+    endpoint: str
+    started_ms: int
+    age_ms: int
+    is_confirmed: bool = False
+
+
+class CrashNews(NamedTuple):
+    """What a gateway knows of requests under which endpoints ended.
+
+    Attributes:
+      reports: Ends of endpoints.
+      cleared: Requests that an endpoint has answered since.
+    """
+
+    reports: tuple[CrashReport, ...] = ()
+    cleared: tuple[bytes, ...] = ()
+
+
 class BatchAsk(NamedTuple):
     """A request about a batch, to the process that runs it or is to run it.
 
@@ -121,3 +151,8 @@
     number: int
     code: int
     content: bytes
+
+
+GatewayMessage: TypeAlias = (
+    Presence | StoreChanges | CrashNews | BatchAsk | BatchAnswer
+)
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -286,6 +286,19 @@
   content @2 :Data;
 }
 
+struct CrashReport {
+  fingerprint @0 :Data;
+  endpoint @1 :Text;
+  startedMs @2 :UInt64;
+  ageMs @3 :UInt32;
+  isConfirmed @4 :Bool;
+}
+
+struct CrashNews {
+  reports @0 :List(CrashReport);
+  cleared @1 :List(Data);
+}
+
 struct Envelope {
   union {
     hello @0 :Hello;
@@ -315,5 +328,6 @@
     storeChanges @24 :StoreChanges;
     batchAsk @25 :BatchAsk;
     batchAnswer @26 :BatchAnswer;
+    crashNews @27 :CrashNews;
   }
 }
--- a/libs/link/src/shallotstand/link/messages.py
+++ b/libs/link/src/shallotstand/link/messages.py
@@ -5,12 +5,7 @@
 
 from typing import NamedTuple, TypeAlias
 
-from shallotstand.link.gateway_messages import (
-    BatchAnswer,
-    BatchAsk,
-    Presence,
-    StoreChanges,
-)
+from shallotstand.link.gateway_messages import GatewayMessage
 
 
 class Span(NamedTuple):
@@ -493,8 +488,5 @@
     | SampleRelease
     | LoadSamples
     | Suspicion
-    | Presence
-    | StoreChanges
-    | BatchAsk
-    | BatchAnswer
+    | GatewayMessage
 )
--- a/libs/peers/src/shallotstand/peers/mesh.py
+++ b/libs/peers/src/shallotstand/peers/mesh.py
@@ -91,6 +91,7 @@
         self._presence_sent_at = float("-inf")
         self._last_sent_batches: tuple[str, ...] = ()
         self._listeners: list[Callable[[], None]] = []
+        self._connection_listeners: list[Callable[[Link], None]] = []
         self._server: asyncio.Server | None = None
 
     async def run(self) -> None:
@@ -112,6 +113,10 @@
         """Calls the listener after each presence message of a peer."""
         self._listeners.append(listener)
 
+    def subscribe_connections(self, listener: Callable[[Link], None]) -> None:
+        """Calls the listener with each new connection to a peer."""
+        self._connection_listeners.append(listener)
+
     def register_handler(
         self, message_type: type, handler: MessageHandler
     ) -> None:
@@ -324,6 +329,8 @@
         self._links.add(link)
         link.set_tcp_user_timeout(PEER_TIMEOUT_S)
         link.send(self._make_presence())
+        for listener in self._connection_listeners:
+            listener(link)
         try:
             async for message in link.messages():
                 if isinstance(message, Presence):
--- a/tests/adapter/test_http_frontend.py
+++ b/tests/adapter/test_http_frontend.py
@@ -25,6 +25,7 @@
     RouteKind,
     RouteTarget,
 )
+from shallotstand.dispatch.crash_record import CrashRecord
 from shallotstand.dispatch.endpoint_client import EndpointResponse
 from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.plain import UnaryDispatcher
@@ -86,7 +87,12 @@
             self.endpoints, self.engines, clock, random.Random(1)
         )
         self.request_handler = RequestHandler(
-            self.endpoints, self.engines, unary_dispatcher, self.meter, clock
+            self.endpoints,
+            self.engines,
+            unary_dispatcher,
+            self.meter,
+            clock,
+            CrashRecord(self.endpoints.by_id, clock),
         )
         self.batches = BatchRegistry()
         self.log = BatchLog(self.store, self.batches, clock)
