Continue a text of an item only with the software that began it

Callers: results of batches held text of two software versions, which does not fit together.

Cause: an item resumed, moved or was taken over at the best engine; the software version of an engine was not even read from its entry.

Change: a text knows the software version that generated it, also in the checkpoints in the store. It goes on at that version only. If no slot of it comes while other versions serve, the text is discarded and the item starts over, since it is owed. No call to the store is added.

Ruled out: asking engines (they do not check it).

--- a/libs/batches/src/shallotstand/batches/checkpoints.py
+++ b/libs/batches/src/shallotstand/batches/checkpoints.py
@@ -28,12 +28,14 @@
     """Stored form of the text of an unfinished item.
 
     `events` and `versions` hold the data and the weight version of each event;
-    `is_whole` says whether the text is complete.
+    `is_whole` says whether the text is complete; `software_version` is that of
+    the engines that generated it.
     """
 
     events: list[str]
     versions: list[int]
     is_whole: bool
+    software_version: str
 
 
 class Checkpoints:
@@ -142,6 +144,7 @@
                 events=list(progress.events),
                 versions=list(progress.versions),
                 is_whole=progress.is_complete,
+                software_version=progress.software_version or "",
             )
         return records
 
@@ -169,4 +172,5 @@
     progress.events = list(record["events"])
     progress.versions = list(record["versions"])
     progress.is_complete = bool(record["is_whole"])
+    progress.software_version = str(record["software_version"])
     return progress
--- a/libs/batches/src/shallotstand/batches/item_run.py
+++ b/libs/batches/src/shallotstand/batches/item_run.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from absl import logging
+from shallotstand.batches.event_interval import EventInterval
 from shallotstand.batches.progress import Progress
 from shallotstand.batches.records import (
     Item,
@@ -29,6 +30,9 @@
 from shallotstand.dispatch.plain import UnaryDispatcher
 from shallotstand.dispatch.slots import ResourceRequest, SlotPool
 
+# Longest wait for a slot of an engine with the software that began a text. The
+# text is discarded then if engines with other software could start over.
+SAME_SOFTWARE_WAIT_S = 1.5
 # Status of a failed attempt. Other errors say nothing of the item: an engine
 # that starts, ends or runs out of time also responds with one.
 FAILED_STATUS = 500
@@ -49,8 +53,6 @@
 # Events after which the measured interval is reliable enough for a move.
 MIN_EVENTS_BEFORE_MOVE = 4
 MAX_MOVES = 3
-# Weight of the newest interval in the smoothed interval between events.
-INTERVAL_SMOOTHING = 0.3
 # Time limit for one attempt at an engine.
 ATTEMPT_TIMEOUT_S = 20.0
 # Delay before a failed scoring request is repeated.
@@ -167,9 +169,7 @@
         while not self.progress.is_complete:
             route = await self._wait_for_route()
             requested = self._dependencies.clock.monotonic()
-            endpoint = await self._dependencies.slot_pool.acquire(
-                self._resource_request(route)
-            )
+            endpoint = await self._acquire_endpoint(route)
             started = self._dependencies.clock.monotonic()
             self._waited_s += started - requested
             self._attempt_count += 1
@@ -187,6 +187,37 @@
                 return lost_result
         return None
 
+    async def _acquire_endpoint(self, route: Route) -> Endpoint:
+        """Waits for a slot of an engine that can continue the text.
+
+        If there is none, the text is discarded and any engine may start over.
+        """
+        while True:
+            request = self._resource_request(route)
+            if request.software_version is None:
+                return await self._dependencies.slot_pool.acquire(request)
+            try:
+                async with asyncio.timeout(SAME_SOFTWARE_WAIT_S):
+                    return await self._dependencies.slot_pool.acquire(request)
+            except TimeoutError:
+                self._discard_text_if_stranded(request)
+
+    def _discard_text_if_stranded(self, request: ResourceRequest) -> None:
+        """Discards the text unless engines of its version alone are left."""
+        software_versions = {
+            endpoint.software_version
+            for endpoint in self._dependencies.endpoint_registry.active(
+                request.service
+            )
+        }
+        if software_versions - {request.software_version}:
+            self._log(
+                "Item starts over at other software",
+                None,
+                f"no slot at version {request.software_version}",
+            )
+            self.progress.clear()
+
     async def _run_attempt(
         self, endpoint: Endpoint, route: Route
     ) -> Failure | _ErrorResponse | _Moved | None:
@@ -217,7 +248,7 @@
         version = stream.version
         events = aiter(stream.events())
         timeout_s = FIRST_EVENT_TIMEOUT_S
-        event_interval = _EventInterval(self._dependencies.clock)
+        event_interval = EventInterval(self._dependencies.clock)
         while True:
             try:
                 async with asyncio.timeout(timeout_s):
@@ -234,6 +265,7 @@
                 return event
             timeout_s = STALL_TIMEOUT_S
             version = event.version or version
+            self.progress.software_version = endpoint.software_version
             failure = self._append_event(event, version, route)
             if failure is not None:
                 return failure
@@ -272,7 +304,7 @@
         )
 
     def _record_event(
-        self, endpoint: Endpoint, version: int, event_interval: "_EventInterval"
+        self, endpoint: Endpoint, version: int, event_interval: EventInterval
     ) -> None:
         if self._item.model:
             self._dependencies.endpoint_registry.record_model_version(
@@ -284,7 +316,7 @@
             )
 
     def _should_move(
-        self, endpoint: Endpoint, route: Route, event_interval: "_EventInterval"
+        self, endpoint: Endpoint, route: Route, event_interval: EventInterval
     ) -> bool:
         if (
             event_interval.event_count < MIN_EVENTS_BEFORE_MOVE
@@ -415,6 +447,7 @@
             self._submission.min_version,
             self._rank,
             self._avoided_endpoint_id,
+            self.progress.software_version if self.progress.events else None,
         )
 
     def _endpoint_request(self, event_count: int) -> EndpointRequest:
@@ -447,31 +480,3 @@
             errors=self._error_count,
             reason=reason,
         )
-
-
-class _EventInterval:
-    """Smoothed interval between the events of one attempt.
-
-    Attributes:
-      event_count: Events so far.
-      seconds_per_event: The interval; 0 before the second event.
-    """
-
-    def __init__(self, clock: Clock):
-        self._clock = clock
-        self._last_event_at = 0.0
-        self.event_count = 0
-        self.seconds_per_event = 0.0
-
-    def record_event(self) -> None:
-        """Updates the interval with an event that arrived now."""
-        now = self._clock.monotonic()
-        interval = now - self._last_event_at
-        if self.event_count == 1:
-            self.seconds_per_event = interval
-        elif self.event_count > 1:
-            self.seconds_per_event += INTERVAL_SMOOTHING * (
-                interval - self.seconds_per_event
-            )
-        self._last_event_at = now
-        self.event_count += 1
--- a/libs/batches/src/shallotstand/batches/progress.py
+++ b/libs/batches/src/shallotstand/batches/progress.py
@@ -16,12 +16,15 @@
       events: Data of the events, in order.
       versions: Version of the weights that generated each event.
       is_complete: Whether the text is complete.
+      software_version: Software version of the engines that generated it; None
+        without events. Only that version can continue it.
     """
 
     def __init__(self) -> None:
         self.events: list[str] = []
         self.versions: list[int] = []
         self.is_complete = False
+        self.software_version: str | None = None
 
     @property
     def text(self) -> str:
@@ -45,6 +48,7 @@
         self.events.clear()
         self.versions.clear()
         self.is_complete = False
+        self.software_version = None
 
 
 class _CachedProgress(NamedTuple):
--- a/libs/batches/tests/test_item_run.py
+++ b/libs/batches/tests/test_item_run.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import itertools
+import time
 
 import pytest
+from shallotstand.batches import item_run
 from shallotstand.batches.item_run import ItemRun
 from shallotstand.batches.progress import Progress
 from shallotstand.batches.records import ResultState
@@ -320,3 +322,95 @@
     engines.stream = stream
     assert run(environment).text.count("text") == 8
     assert [sent.endpoint for sent in streams_sent(engines)] == ["b"]
+
+
+@pytest.fixture
+def mixed_engines(environment, engines):
+    """Engines of two software versions: `a` and `c` of one, `b` of another."""
+    for name, version in (("a", "v1"), ("c", "v1"), ("b", "v2")):
+        environment.endpoint_registry.update_endpoint(
+            make_endpoint(name, software_version=version)
+        )
+    return engines
+
+
+def started_text(software_version):
+    progress = Progress()
+    progress.events = ["text 1", "text 2"]
+    progress.versions = [1, 1]
+    progress.software_version = software_version
+    return progress
+
+
+def test_text_goes_on_at_the_software_that_began_it(environment, mixed_engines):
+    # Guards against a text that is joined from two software versions, at a
+    # resume in the process and at a takeover from the stored texts.
+    breaks = itertools.count()
+
+    def stream(sent):
+        first = (sent.request.last_event_id or 0) + 1
+        if next(breaks) < 3:
+            return MemoryStream([*numbered_events(first, first), ANSWER_CUT], 1)
+        return MemoryStream(numbered_events(first, 8), 1)
+
+    mixed_engines.stream = stream
+    result = run(environment, started_text("v1"))
+    assert result.text == "\n".join(f"text {n}" for n in range(1, 9))
+    endpoints_used = {sent.endpoint for sent in mixed_engines.sent}
+    assert endpoints_used & {"a", "c"}
+    assert "b" not in endpoints_used
+
+
+def test_text_starts_over_if_its_software_is_gone(
+    environment, mixed_engines, monkeypatch
+):
+    # Guards against an item that waits for software that is not in service any
+    # more, and against a text that goes on at other software.
+    monkeypatch.setattr(item_run, "SAME_SOFTWARE_WAIT_S", 0.05)
+    mixed_engines.stream = lambda sent: MemoryStream(
+        numbered_events((sent.request.last_event_id or 0) + 1, 3), 1
+    )
+    result = run(environment, started_text("v0"))
+    assert result.text == "text 1\ntext 2\ntext 3"
+    first = streams_sent(mixed_engines) + [
+        sent for sent in mixed_engines.sent if sent.endpoint == "c"
+    ]
+    assert [sent.request.last_event_id for sent in first] == [None]
+
+
+def test_text_is_kept_while_all_engines_have_its_software(
+    environment, engines, monkeypatch
+):
+    # Guards against work that is thrown away because engines are busy.
+    monkeypatch.setattr(item_run, "SAME_SOFTWARE_WAIT_S", 0.02)
+    ready_at = time.monotonic() + 0.2
+    monkeypatch.setattr(
+        environment.endpoint_registry,
+        "free_slots",
+        lambda _: int(time.monotonic() > ready_at),
+    )
+    engines.stream = lambda sent: MemoryStream(
+        numbered_events((sent.request.last_event_id or 0) + 1, 3), 1
+    )
+
+    async def poll():
+        while True:
+            await asyncio.sleep(0.05)
+            environment.dependencies.slot_pool.assign_free_slots()
+
+    async def scenario():
+        polling = asyncio.create_task(poll())
+        batch = submission("batch", item("one"))
+        result = await ItemRun(
+            environment.dependencies,
+            batch,
+            batch.items[0],
+            started_text(""),
+            (0.0,),
+        ).run()
+        polling.cancel()
+        return result
+
+    result = asyncio.run(asyncio.wait_for(scenario(), 5))
+    assert result.text == "text 1\ntext 2\ntext 3"
+    assert [sent.request.last_event_id for sent in streams_sent(engines)] == [2]
--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -8,6 +8,7 @@
 from absl import logging
 from shallotstand.core import logs
 from shallotstand.core.clock import Clock
+from shallotstand.dispatch.endpoint_health import EndpointHealth
 from shallotstand.dispatch.ranking import (
     EndpointRanking,
     EndpointView,
@@ -54,6 +55,8 @@
       started_ms: Time of its start in Unix milliseconds; differs after a
         restart.
       version_by_model: Weight version of each model that it serves.
+      software_version: Version of its software. What endpoints of different
+        versions generate does not fit together.
     """
 
     id: str
@@ -64,6 +67,7 @@
     is_leaving: bool
     started_ms: int
     version_by_model: dict[str, int]
+    software_version: str = ""
 
 
 class EndpointState(NamedTuple):
@@ -83,25 +87,6 @@
     shares: PeerShares = PeerShares()
 
 
-class _Health:
-    """Load and health of an endpoint, observed from this process's requests."""
-
-    def __init__(self) -> None:
-        self.in_flight = 0
-        self.consecutive_failures = 0
-        self.consecutive_refusals_by_model: collections.Counter[str] = (
-            collections.Counter()
-        )
-        self.backoff_until_by_model: dict[str, float] = {}
-        self.backoff_until = 0.0
-        self.last_success_at = float("-inf")
-        self.seconds_per_unit: float | None = None
-        self.measured_at = float("-inf")
-        self.failure_rate = 0.0
-        self.failure_rate_updated_at = float("-inf")
-        self.version_by_model: dict[str, int] = {}
-
-
 class EndpointRegistry:
     """The registered endpoints, with their load and health.
 
@@ -123,8 +108,8 @@
         self._zone = zone
         self._clock = clock
         self._listeners: list[Callable[[], None]] = []
-        self._health_by_id: dict[str, _Health] = collections.defaultdict(
-            _Health
+        self._health_by_id: dict[str, EndpointHealth] = collections.defaultdict(
+            EndpointHealth
         )
         self._expires_at_by_id: dict[str, float] = {}
         self._fetch_peer_states: Callable[[], dict[str, EndpointState]] = dict
@@ -166,7 +151,7 @@
         self._expires_at_by_id.pop(endpoint.id, None)
         if previous is None or previous.started_ms != endpoint.started_ms:
             in_flight = self._health_by_id[endpoint.id].in_flight
-            health = self._health_by_id[endpoint.id] = _Health()
+            health = self._health_by_id[endpoint.id] = EndpointHealth()
             health.in_flight = in_flight
             if previous is not None:
                 self.request_shares.record_start(endpoint.id)
@@ -181,6 +166,7 @@
                 service=endpoint.service,
                 zone=endpoint.zone,
                 leaving=endpoint.is_leaving,
+                software_version=endpoint.software_version,
                 started_ms=endpoint.started_ms,
             )
         self._notify()
@@ -227,7 +213,7 @@
         return sorted(
             (
                 endpoint
-                for endpoint in self._active_endpoints(service)
+                for endpoint in self.active(service)
                 if endpoint.id not in excluded
                 and self.is_available(endpoint.id, model)
                 and is_usable(endpoint)
@@ -240,7 +226,7 @@
 
     def has_endpoints(self, service: str) -> bool:
         """Returns whether the service has endpoints that accept requests."""
-        return any(True for _ in self._active_endpoints(service))
+        return any(True for _ in self.active(service))
 
     def free_slots(self, endpoint: Endpoint) -> int:
         """Returns how many slots neither this process nor its peers use."""
@@ -263,13 +249,13 @@
         now = self._clock.monotonic()
         limit_waits_s = (
             self.request_shares.next_share_in_s(endpoint.id)
-            for endpoint in self._active_endpoints(service)
+            for endpoint in self.active(service)
         )
         backoff_ends = itertools.chain.from_iterable(
             (health.backoff_until, *health.backoff_until_by_model.values())
             for health in (
                 self._health_by_id[endpoint.id]
-                for endpoint in self._active_endpoints(service)
+                for endpoint in self.active(service)
             )
         )
         waits_s = itertools.chain(
@@ -291,7 +277,7 @@
             (
                 self.request_shares.seconds_until_request(endpoint.id)
                 for service in services
-                for endpoint in self._active_endpoints(service)
+                for endpoint in self.active(service)
             ),
             default=0.0,
         )
@@ -437,7 +423,8 @@
             pause_s=backoff_s,
         )
 
-    def _active_endpoints(self, service: str) -> Iterator[Endpoint]:
+    def active(self, service: str) -> Iterator[Endpoint]:
+        """Returns the endpoints of a service that accept new requests."""
         self._delete_expired()
         return (
             endpoint
--- a/libs/dispatch/src/shallotstand/dispatch/slots.py
+++ b/libs/dispatch/src/shallotstand/dispatch/slots.py
@@ -21,6 +21,7 @@
     service: str
     model: str
     min_version: int
+    software_version: str | None
 
 
 class ResourceRequest(NamedTuple):
@@ -34,6 +35,9 @@
       avoided_endpoint_id: Identifier of the endpoint that the item has just
         left, for example after a failure; it is chosen only if no other
         endpoint has a free slot. Empty if no attempt has ended yet.
+      software_version: Software version of the endpoint that generated the
+        text so far, which no other version can continue; None if there is no
+        text yet.
     """
 
     service: str
@@ -41,11 +45,14 @@
     min_version: int
     rank: tuple[float, ...]
     avoided_endpoint_id: str = ""
+    software_version: str | None = None
 
     @property
     def need(self) -> _Need:
         """The requirements that decide which endpoints are usable."""
-        return _Need(self.service, self.model, self.min_version)
+        return _Need(
+            self.service, self.model, self.min_version, self.software_version
+        )
 
 
 class SlotPool:
@@ -205,7 +212,12 @@
     def _can_run(
         self, endpoint: Endpoint, resource_request: ResourceRequest
     ) -> bool:
-        """Returns whether an endpoint has a slot and an item's version."""
+        """Returns whether an endpoint has a slot and an item's versions."""
+        if resource_request.software_version not in (
+            None,
+            endpoint.software_version,
+        ):
+            return False
         return self._endpoint_registry.free_slots(endpoint) > 0 and (
             not resource_request.model
             or self._endpoint_registry.model_version(
