Continue a stream only at the software version that began it

Callers: streams that broke off went on at an engine of another software version, in one answer or when a client took them up again, with nothing in the answer to show it; after a restart of all gateways most did.

Cause: nothing read the software version of an engine, and what a gateway knew of a stream ended with it.

Change: the version follows from the identifier of the caller's attempt and a plan in the store, so all processes know it, also later ones. Streams that can't follow the plan, or on which the plans of the last minutes disagree, are recorded before they are sent. A take-up of which nothing is known, or whose version has left, is refused at once as not run.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -79,6 +79,7 @@
         self._serving = RequestServing(
             boot,
             process_id,
+            self._store,
             make_endpoint_request_counter(metrics),
             self._clock,
         )
@@ -89,6 +90,9 @@
             self._make_presence,
             self._clock,
         )
+        self._serving.stream_origins.is_preferred_owner = (
+            self._batch_subsystem.mesh.is_preferred_owner
+        )
         self._crash_sharing = CrashSharing(
             self._serving.crash_record,
             self._batch_subsystem.mesh,
@@ -190,6 +194,7 @@
                     *self._batch_subsystem.background_tasks(),
                     self._usage_writer.run,
                     self._crash_sharing.run,
+                    self._serving.stream_origins.run,
                 )
             )
         )
--- a/apps/gateway/src/shallotstand/gateway/serving.py
+++ b/apps/gateway/src/shallotstand/gateway/serving.py
@@ -11,6 +11,8 @@
 from shallotstand.dispatch.plain import UnaryDispatcher
 from shallotstand.dispatch.request_handler import RequestHandler
 from shallotstand.dispatch.usage import UsageMeter
+from shallotstand.documents.protocols import DocumentStore
+from shallotstand.peers.stream_origins import StoredStreamOrigins
 
 
 class RequestServing:
@@ -21,6 +23,7 @@
       endpoint_registry: The endpoints with their load and health.
       unary_dispatcher: Serves requests whose response is not streamed.
       crash_record: Requests under which endpoints ended.
+      stream_origins: Where callers' streams began.
       usage_meter: Counts requests for the usage report.
       request_handler: Admits and dispatches requests.
     """
@@ -29,6 +32,7 @@
         self,
         boot: BootSettings,
         process_id: str,
+        store: DocumentStore,
         count_request: Callable[[str, str], None],
         clock: Clock,
     ):
@@ -37,6 +41,7 @@
         Args:
           boot: Settings of the instance.
           process_id: Identifier of the process.
+          store: The store, where origins of streams are kept.
           count_request: Counts a request by endpoint and outcome.
           clock: Source of time.
         """
@@ -48,6 +53,9 @@
             self.endpoint_registry, self.client, clock, random.Random()
         )
         self.crash_record = CrashRecord(self.endpoint_registry.by_id, clock)
+        self.stream_origins = StoredStreamOrigins(
+            store, self.endpoint_registry, boot.instance, clock
+        )
         self.usage_meter = UsageMeter(boot.usage_window_s, clock)
         self.request_handler = RequestHandler(
             self.endpoint_registry,
@@ -56,4 +64,5 @@
             self.usage_meter,
             clock,
             self.crash_record,
+            self.stream_origins,
         )
--- a/apps/standins/src/shallotstand/standins/memory_engines.py
+++ b/apps/standins/src/shallotstand/standins/memory_engines.py
@@ -1,17 +1,19 @@
 """In-memory engines with scripted responses."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from typing import NamedTuple
 
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
+from shallotstand.dispatch.config import Route
 from shallotstand.dispatch.endpoint_client import (
     EndpointRequest,
     EndpointResponse,
     StreamEvent,
 )
 from shallotstand.dispatch.endpoints import Endpoint
+from shallotstand.dispatch.stream_origins import StreamOrigin
 
 REFUSED = Failure(ResultCode.ENDPOINT_REFUSED, "full")
 ANSWER_CUT = Failure(ResultCode.ANSWER_CUT, "reset")
@@ -125,6 +127,35 @@
     ]
 
 
+class MemoryStreamOrigins:
+    """Implements `StreamOrigins` in memory: the best endpoint begins a stream.
+
+    Attributes:
+      origin_by_stream: Where the streams began.
+    """
+
+    def __init__(self) -> None:
+        self.origin_by_stream: dict[str, StreamOrigin] = {}
+
+    async def begin(
+        self, stream_id: str, route: Route, candidates: Sequence[Endpoint]
+    ) -> StreamOrigin | Failure:
+        """Chooses the origin of the first candidate."""
+        del route  # Any service will do.
+        origin = StreamOrigin.from_endpoint(candidates[0])
+        self.origin_by_stream[stream_id] = origin
+        return origin
+
+    async def find(
+        self, stream_id: str, route: Route
+    ) -> StreamOrigin | Failure:
+        """Returns where a stream began, if it is known."""
+        del route
+        return self.origin_by_stream.get(stream_id) or Failure(
+            ResultCode.STREAM_ORIGIN_UNKNOWN, "unknown stream"
+        )
+
+
 def make_endpoint(name: str, **fields: object) -> Endpoint:
     """Returns an endpoint of the service `engines`."""
     return Endpoint(
--- a/libs/core/src/shallotstand/core/codes.py
+++ b/libs/core/src/shallotstand/core/codes.py
@@ -37,6 +37,7 @@
     DEADLINE_PASSED = 1019
     ENDPOINTS_AT_LIMIT = 1020
     ENDPOINTS_CRASH = 1021
+    STREAM_ORIGIN_UNKNOWN = 1022
 
     ANSWER_CUT = 2001
     LINK_LOST = 2002
@@ -172,6 +173,9 @@
     ResultCode.ENDPOINTS_CRASH: CodeInfo(
         503, "Endpoints end each time that they run this request."
     ),
+    ResultCode.STREAM_ORIGIN_UNKNOWN: CodeInfo(
+        503, "It is not known which software version can serve the stream."
+    ),
     ResultCode.ANSWER_CUT: CodeInfo(
         502, "The endpoint's response ended early; the outcome is unknown."
     ),
--- a/libs/dispatch/src/shallotstand/dispatch/endpoint_client.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoint_client.py
@@ -22,6 +22,8 @@
       deadline_s: Seconds that the caller waits; None if not stated.
       last_event_id: Event after which the stream resumes; None to start with
         the first event.
+      resumed_id: Identifier of the caller's request that brought the first
+        event of the stream; empty if none was sent.
     """
 
     method: str
@@ -34,6 +36,7 @@
     key: str
     deadline_s: float | None
     last_event_id: int | None = None
+    resumed_id: str = ""
 
 
 class EndpointRequest(NamedTuple):
--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -363,6 +363,13 @@
         )
         health.measured_at = health.last_success_at
 
+    def record_event(self, endpoint: Endpoint) -> None:
+        """Records an event of a stream, which ends a backoff like a success."""
+        health = self._health_by_id[endpoint.id]
+        health.consecutive_failures = 0
+        health.backoff_until = 0.0
+        health.last_success_at = self._clock.monotonic()
+
     def record_outcome(self, endpoint: Endpoint, has_failed: bool) -> None:
         """Updates the failure rate with the outcome of a request.
 
--- a/libs/dispatch/src/shallotstand/dispatch/request_handler.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_handler.py
@@ -20,6 +20,7 @@
     UnaryDispatcher,
     build_endpoint_request,
 )
+from shallotstand.dispatch.stream_origins import StreamOrigins
 from shallotstand.dispatch.streams import CallerStream
 from shallotstand.dispatch.usage import UsageMeter
 
@@ -56,7 +57,9 @@
         usage_meter: UsageMeter,
         clock: Clock,
         crash_record: CrashRecord,
+        stream_origins: StreamOrigins,
     ):
+        self._stream_origins = stream_origins
         self._crash_record = crash_record
         self._endpoint_registry = endpoint_registry
         self._client = client
@@ -165,9 +168,12 @@
             admitted.route,
             endpoint_request,
             self._clock.monotonic() + _budget_s(request, admitted.route),
+            self._stream_origins,
+            request.resumed_id,
             guard,
         )
         answer = await stream.open()
+        _log_stream(request, stream, answer)
         if stream.first_started_at is not None and admitted.account is not None:
             elapsed_s = self._clock.monotonic() - stream.first_started_at
             self._usage_meter.count_request(admitted.account.name, elapsed_s)
@@ -193,6 +199,25 @@
         return failure
 
 
+def _log_stream(
+    request: CallerRequest,
+    stream: CallerStream,
+    answer: EndpointResponse | Failure | None,
+) -> None:
+    is_failure = isinstance(answer, Failure)
+    logs.event(
+        logging.INFO,
+        "Stream opened" if answer is None else "Stream not opened",
+        request=request.request_id,
+        resumes=request.resumed_id,
+        last_event=request.last_event_id,
+        endpoint=stream.endpoint_id,
+        software_version=stream.software_version,
+        code=int(answer.code) if is_failure else 0,
+        reason=answer.reason if is_failure else "",
+    )
+
+
 def _budget_s(request: CallerRequest, route: Route) -> float:
     if request.deadline_s is None:
         return route.timeout_s
--- a/libs/dispatch/src/shallotstand/dispatch/streams.py
+++ b/libs/dispatch/src/shallotstand/dispatch/streams.py
@@ -19,12 +19,16 @@
 )
 from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
 from shallotstand.dispatch.plain import at_limit_failure, log_cut_off
+from shallotstand.dispatch.stream_origins import StreamOrigin, StreamOrigins
 
 _UNGUARDED = Unguarded()
 # Longest gap between events before a stream resumes on another endpoint. A
 # stream that can't resume has until its deadline, since a slow endpoint may
 # still complete it.
 STALL_TIMEOUT_S = 2.0
+# Delay before endpoints of the software that began a stream are looked for
+# again.
+RESUME_RETRY_S = 0.05
 # Status of a response whose content is a stream of events.
 _STREAM_STATUS = 200
 
@@ -48,8 +52,27 @@
         route: Route,
         endpoint_request: EndpointRequest,
         deadline: float,
+        origins: StreamOrigins,
+        resumed_id: str = "",
         guard: CrashGuard = _UNGUARDED,
     ):
+        """Creates a stream, which `open` starts.
+
+        Args:
+          endpoint_registry: The endpoints.
+          client: Sends requests to endpoints.
+          clock: Source of time.
+          route: Route of the request.
+          endpoint_request: The request to endpoints.
+          deadline: Monotonic time in seconds at which the stream ends.
+          origins: Where streams begin.
+          resumed_id: Identifier of the caller's request that brought the first
+            event; empty if the stream begins, or if the caller names none.
+          guard: Keeps the request from crashing endpoint after endpoint.
+        """
+        self._origins = origins
+        self._resumed_id = resumed_id
+        self._origin: StreamOrigin | None = None
         self._deadline = deadline
         self._guard = guard
         self._endpoint_registry = endpoint_registry
@@ -70,6 +93,16 @@
         self.headers: tuple[tuple[str, str], ...] = ()
         self.first_started_at: float | None = None
 
+    @property
+    def endpoint_id(self) -> str:
+        """Identifier of the endpoint that serves it; empty if none does."""
+        return "" if self._endpoint is None else self._endpoint.id
+
+    @property
+    def software_version(self) -> str:
+        """Software version at which it may go on; empty if any."""
+        return "" if self._origin is None else self._origin.software_version
+
     async def open(self) -> EndpointResponse | Failure | None:
         """Opens the stream on an endpoint.
 
@@ -80,21 +113,30 @@
         Errors:
           NO_ENDPOINT, ENDPOINTS_AT_LIMIT, ENDPOINT_REFUSED: Not run; no
             endpoint accepted the request.
+          STREAM_ORIGIN_UNKNOWN: Not run; the stream goes on, and it is not
+            known where it began.
           ANSWER_CUT, ENDPOINT_BAD_ANSWER, ENDPOINT_TIMEOUT: The request may
             have run.
         """
+        if self._route.is_resumable and self._has_begun:
+            origin = await self._origins.find(self._resumed_id, self._route)
+            if isinstance(origin, Failure):
+                return origin
+            self._origin = origin
         not_run = Failure(ResultCode.NO_ENDPOINT, "No endpoint is available.")
         ran: EndpointResponse | Failure | None = None
         while len(self._tried_endpoint_ids) < max(1, self._route.max_attempts):
             if ran is not None and not self._guard.may_send_again():
                 break
-            candidates = self._candidates()
-            if not candidates:
+            endpoint = await self._choose_endpoint()
+            if isinstance(endpoint, Failure):
+                return endpoint if ran is None else ran
+            if endpoint is None:
                 limit_wait_s = self._limit_wait_s()
                 if limit_wait_s:
                     not_run = at_limit_failure(limit_wait_s)
                 break
-            outcome = await self._attempt(candidates[0])
+            outcome = await self._attempt(endpoint)
             if isinstance(outcome, Failure) and is_not_run(outcome.code):
                 not_run = outcome
                 continue
@@ -131,6 +173,7 @@
                     )
                     break
                 self._next_event_number = event.number + 1
+                self._endpoint_registry.record_event(self._endpoint)
                 yield event
             self._endpoint_registry.record_outcome(
                 self._endpoint, has_failed=failure is not None
@@ -187,13 +230,50 @@
             target.service for target in self._route.targets
         )
 
+    @property
+    def _has_begun(self) -> bool:
+        """Whether the caller has got an event, of this attempt or before."""
+        return self._next_event_number is not None
+
+    async def _choose_endpoint(self) -> Endpoint | Failure | None:
+        """Returns the endpoint that can serve the stream best.
+
+        Returns:
+          None if there is none now.
+
+        Errors:
+          STREAM_ORIGIN_UNKNOWN: The stream could not be continued later.
+        """
+        candidates = self._candidates()
+        if candidates or not self._route.is_resumable or self._has_begun:
+            origin = self._origin
+        else:
+            # Other software may begin the stream.
+            origin = self._origin = None
+            candidates = self._candidates()
+        if not candidates:
+            return None
+        if self._route.is_resumable and origin is None:
+            origin = await self._origins.begin(
+                self._endpoint_request.request_id, self._route, candidates
+            )
+            if isinstance(origin, Failure):
+                return origin
+            self._origin = origin
+        return next(filter(self._may_serve, candidates), None)
+
+    def _may_serve(self, endpoint: Endpoint) -> bool:
+        return self._origin is None or (
+            StreamOrigin.from_endpoint(endpoint) == self._origin
+        )
+
     def _candidates(self) -> list[Endpoint]:
         tried = frozenset(self._tried_endpoint_ids)
         return [
             endpoint
             for target in self._route.targets
             for endpoint in self._endpoint_registry.candidates(
-                target.service, tried
+                target.service, tried, is_usable=self._may_serve
             )
         ]
 
@@ -278,15 +358,38 @@
                 endpoint, has_failed=outcome.status >= 500
             )
 
-    def _next_endpoints(self) -> list[Endpoint]:
-        """Returns the endpoints on which the stream may resume now."""
-        may_resume = (
+    @property
+    def _may_resume(self) -> bool:
+        return (
             self._route.is_resumable
             and self._guard.may_send_again()
             and len(self._tried_endpoint_ids) < max(1, self._route.max_attempts)
             and self._clock.monotonic() < self._deadline
         )
-        return self._candidates() if may_resume else []
+
+    def _next_endpoints(self) -> list[Endpoint]:
+        """Returns the endpoints on which the stream may resume now."""
+        return self._candidates() if self._may_resume else []
+
+    async def _wait_for_endpoints(self) -> list[Endpoint]:
+        """Waits until the stream may resume; returns the endpoints then."""
+        waits_until = self._clock.monotonic() + STALL_TIMEOUT_S
+        while not (endpoints := self._next_endpoints()):
+            if not self._may_resume or not self._has_untried_endpoint():
+                return []
+            if self._clock.monotonic() >= waits_until:
+                return []
+            await asyncio.sleep(RESUME_RETRY_S)
+        return endpoints
+
+    def _has_untried_endpoint(self) -> bool:
+        """Returns whether an endpoint may serve the stream after a backoff."""
+        return any(
+            endpoint.id not in self._tried_endpoint_ids
+            and self._may_serve(endpoint)
+            for target in self._route.targets
+            for endpoint in self._endpoint_registry.active(target.service)
+        )
 
     async def _resume(self, failure: Failure) -> Failure | None:
         logs.event(
@@ -296,9 +399,10 @@
             else "Stream cut off",
             request=self._endpoint_request.request_id,
             next_event=self._next_event_number,
+            software_version=self.software_version,
             reason=failure.reason,
         )
-        while endpoints := self._next_endpoints():
+        while endpoints := await self._wait_for_endpoints():
             outcome = await self._attempt(endpoints[0])
             if not isinstance(outcome, Failure | EndpointResponse):
                 return None
--- a/libs/dispatch/tests/test_at_limit.py
+++ b/libs/dispatch/tests/test_at_limit.py
@@ -16,6 +16,7 @@
 from shallotstand.standins.memory_engines import (
     MemoryEngines,
     MemoryStream,
+    MemoryStreamOrigins,
     make_endpoint,
     numbered_events,
 )
@@ -81,6 +82,7 @@
             make_route(RouteKind.STREAM),
             REQUEST,
             self.clock.monotonic() + 4.0,
+            MemoryStreamOrigins(),
         )
         failure = await stream.open()
         stream.close()
--- a/libs/dispatch/tests/test_streams.py
+++ b/libs/dispatch/tests/test_streams.py
@@ -16,6 +16,7 @@
     ANSWER_CUT,
     MemoryEngines,
     MemoryStream,
+    MemoryStreamOrigins,
     make_endpoint,
     numbered_events,
 )
@@ -66,6 +67,7 @@
                 "POST", "/a", "host.example", (), b"", "r1", None, is_resumable
             ),
             clock.monotonic() + deadline_s,
+            MemoryStreamOrigins(),
         )
         assert await caller_stream.open() is None
         received = [event async for event in caller_stream.events()]
--- a/tests/adapter/test_http_frontend.py
+++ b/tests/adapter/test_http_frontend.py
@@ -37,6 +37,7 @@
     REFUSED,
     MemoryEngines,
     MemoryStream,
+    MemoryStreamOrigins,
     make_endpoint,
     numbered_events,
 )
@@ -93,6 +94,7 @@
             self.meter,
             clock,
             CrashRecord(self.endpoints.by_id, clock),
+            MemoryStreamOrigins(),
         )
         self.batches = BatchRegistry()
         self.log = BatchLog(self.store, self.batches, clock)
