--- a/libs/batches/src/shallotstand/batches/checkpoints.py
+++ b/libs/batches/src/shallotstand/batches/checkpoints.py
@@ -156,7 +156,7 @@
             (item_id, _parse_record(record))
             for item_id, record in document.spec.items()
         ]
-    except (AttributeError, KeyError, TypeError) as error:
+    except (AttributeError, KeyError, TypeError, ValueError) as error:
         logs.event(
             logging.ERROR,
             "Checkpoint can't be read",
--- a/libs/batches/src/shallotstand/batches/registry.py
+++ b/libs/batches/src/shallotstand/batches/registry.py
@@ -148,7 +148,7 @@
             return
         try:
             self._apply(batch_id, suffix, document)
-        except (KeyError, TypeError, ValueError) as error:
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
             logs.event(
                 logging.ERROR,
                 "Entry of the batch log can't be read",
--- a/libs/duties/src/shallotstand/duties/usage_counts.py
+++ b/libs/duties/src/shallotstand/duties/usage_counts.py
@@ -127,7 +127,13 @@
             # Earlier versions of this program wrote in each window.
             is_idle=bool(spec.get("is_idle")),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        TypeError,
+        ValueError,
+    ) as error:
         logs.event(
             logging.ERROR,
             "Usage counts can't be read",
