Refuse requests that would outlast a planned stop

Callers: in a planned stop of one gateway, requests with a long time-out were passed on until 3 s after the signal, and those that engines were still running at the end of the grace were answered 502; some may run once only.

Cause: a stopping gateway took every request that still arrived, whatever time it may take.

Change: from the signal on, a request is refused at once as not run (1013) if the rest of the grace holds neither its time-out nor twice the usual time of its service at the slowest endpoint.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -203,6 +203,8 @@
         """Finishes callers' requests; other processes take the batches over."""
         started = self._clock.monotonic()
         self._frontend.is_draining = True
+        served_until = started + self._boot.shutdown_timeout_s - EXIT_RESERVE_S
+        self._serving.request_handler.begin_stop(served_until)
         logs.event(
             logging.INFO, "Stopping", in_progress=self._in_progress.count
         )
@@ -216,9 +218,9 @@
             max(0.0, LOAD_BALANCER_DELAY_S - self._clock.monotonic() + started)
         )
         await self._frontend_server.close()
-        remaining_s = self._boot.shutdown_timeout_s - EXIT_RESERVE_S
-        remaining_s -= self._clock.monotonic() - started
-        await self._in_progress.wait_idle(remaining_s)
+        await self._in_progress.wait_idle(
+            served_until - self._clock.monotonic()
+        )
 
     def _is_ready(self) -> bool:
         if self._frontend.is_draining or not self._is_listening:
--- a/apps/standins/src/shallotstand/standins/fleet.py
+++ b/apps/standins/src/shallotstand/standins/fleet.py
@@ -272,6 +272,18 @@
                 "service": "fragile",
                 "max_attempts": 2,
             },
+            *(
+                {
+                    **common,
+                    "name": f"patient-{kind}",
+                    "path_prefix": f"/patient/{kind}/",
+                    "kind": kind,
+                    "service": "slow",
+                    "timeout_ms": 12000,
+                    "max_attempts": 2,
+                }
+                for kind in ("safe", "unsafe")
+            ),
             {
                 **common,
                 "name": "events",
--- a/libs/dispatch/src/shallotstand/dispatch/request_handler.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_handler.py
@@ -24,6 +24,9 @@
 from shallotstand.dispatch.streams import CallerStream
 from shallotstand.dispatch.usage import UsageMeter
 
+# A request may take this many times as long as usual at the slowest endpoint.
+DURATION_MARGIN = 2.0
+
 
 class AdmittedRequest(NamedTuple):
     """The route and client account of an admitted request.
@@ -66,8 +69,17 @@
         self._unary_dispatcher = unary_dispatcher
         self._usage_meter = usage_meter
         self._clock = clock
+        self._stops_at = float("inf")
         self.configuration: Configuration | None = None
 
+    def begin_stop(self, stops_at: float) -> None:
+        """Refuses requests from now on that would outlast the process.
+
+        Args:
+          stops_at: Monotonic time in seconds at which requests are cut off.
+        """
+        self._stops_at = stops_at
+
     def update_configuration(self, configuration: Configuration) -> None:
         """Activates a configuration unless a newer one is active."""
         previous = self.configuration
@@ -128,13 +140,17 @@
             request, route, admitted.account_name
         )
         guard = RecordedRequest(self._crash_record, endpoint_request)
-        if (refusal := guard.refusal()) is not None:
+        budget_s = _budget_s(request, route)
+        refusal = guard.refusal() or self._stop_refusal(
+            min(budget_s, self._expected_s(route))
+        )
+        if refusal is not None:
             return self._refuse(request, refusal)
         result = await self._unary_dispatcher.serve(
             route,
             endpoint_request,
             self._clock.monotonic(),
-            _budget_s(request, route),
+            budget_s,
             guard,
         )
         if result.started_ago_s is not None and admitted.account is not None:
@@ -159,7 +175,9 @@
             request, admitted.route, admitted.account_name
         )
         guard = RecordedRequest(self._crash_record, endpoint_request)
-        if (refusal := guard.refusal()) is not None:
+        budget_s = _budget_s(request, admitted.route)
+        refusal = guard.refusal() or self._stop_refusal(budget_s)
+        if refusal is not None:
             return self._refuse(request, refusal)
         stream = CallerStream(
             self._endpoint_registry,
@@ -167,7 +185,7 @@
             self._clock,
             admitted.route,
             endpoint_request,
-            self._clock.monotonic() + _budget_s(request, admitted.route),
+            self._clock.monotonic() + budget_s,
             self._stream_origins,
             request.resumed_id,
             guard,
@@ -179,6 +197,26 @@
             self._usage_meter.count_request(admitted.account.name, elapsed_s)
         return stream if answer is None else answer
 
+    def _stop_refusal(self, expected_s: float) -> Failure | None:
+        """Returns the refusal of a request that would outlast the process."""
+        if self._clock.monotonic() + expected_s <= self._stops_at:
+            return None
+        return Failure(
+            ResultCode.SHUTTING_DOWN, "This process stops before the answer."
+        )
+
+    def _expected_s(self, route: Route) -> float:
+        """Returns how long a request may take; infinite if unknown."""
+        return DURATION_MARGIN * max(
+            (
+                self._endpoint_registry.seconds_per_unit(endpoint)
+                or float("inf")
+                for target in route.targets
+                for endpoint in self._endpoint_registry.active(target.service)
+            ),
+            default=float("inf"),
+        )
+
     def _authenticate(
         self, request: CallerRequest, route: Route
     ) -> AdmittedRequest | Failure:
