Let take-ups wait a moment for an engine of their software

Callers: a take-up was refused although engines of its version serve, if all of them were in the pause after a failure; a new stream could begin elsewhere. While the store did not answer, take-ups waited for one another.

Change: a take-up waits up to 1.5 s for such an engine, as a stream that broke off does.

Result: tests of streams and software versions pass as before.

--- a/libs/dispatch/src/shallotstand/dispatch/crash_guard.py
+++ b/libs/dispatch/src/shallotstand/dispatch/crash_guard.py
@@ -52,6 +52,9 @@
         """Does nothing."""
 
 
+UNGUARDED = Unguarded()
+
+
 class RecordedRequest:
     """Implements `CrashGuard` for a caller's request."""
 
--- a/libs/dispatch/src/shallotstand/dispatch/plain.py
+++ b/libs/dispatch/src/shallotstand/dispatch/plain.py
@@ -10,7 +10,7 @@
 from shallotstand.core.codes import ResultCode, is_not_run
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import Route
-from shallotstand.dispatch.crash_guard import CrashGuard, Unguarded
+from shallotstand.dispatch.crash_guard import UNGUARDED, CrashGuard
 from shallotstand.dispatch.endpoint_client import (
     CallerRequest,
     EndpointClient,
@@ -38,9 +38,6 @@
 MAX_REFUSALS = 8
 
 
-_UNGUARDED = Unguarded()
-
-
 class ServeResult(NamedTuple):
     """The result of serving a request.
 
@@ -84,7 +81,7 @@
         endpoint_request: EndpointRequest,
         started_at: float,
         budget_s: float,
-        guard: CrashGuard = _UNGUARDED,
+        guard: CrashGuard = UNGUARDED,
     ) -> ServeResult:
         """Serves a request.
 
--- a/libs/dispatch/src/shallotstand/dispatch/streams.py
+++ b/libs/dispatch/src/shallotstand/dispatch/streams.py
@@ -9,7 +9,7 @@
 from shallotstand.core.codes import ResultCode, is_not_run
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import Route
-from shallotstand.dispatch.crash_guard import CrashGuard, Unguarded
+from shallotstand.dispatch.crash_guard import UNGUARDED, CrashGuard
 from shallotstand.dispatch.endpoint_client import (
     EndpointClient,
     EndpointRequest,
@@ -21,13 +21,14 @@
 from shallotstand.dispatch.plain import at_limit_failure, log_cut_off
 from shallotstand.dispatch.stream_origins import StreamOrigin, StreamOrigins
 
-_UNGUARDED = Unguarded()
 # Longest gap between events before a stream resumes on another endpoint. A
 # stream that can't resume has until its deadline, since a slow endpoint may
 # still complete it.
 STALL_TIMEOUT_S = 2.0
-# Delay before endpoints of the software that began a stream are looked for
-# again.
+# Longest wait for an endpoint with the software that began a stream, and the
+# interval at which one is looked for. Callers give up after two seconds without
+# an event.
+RESUME_WAIT_S = 1.5
 RESUME_RETRY_S = 0.05
 # Status of a response whose content is a stream of events.
 _STREAM_STATUS = 200
@@ -54,7 +55,7 @@
         deadline: float,
         origins: StreamOrigins,
         resumed_id: str = "",
-        guard: CrashGuard = _UNGUARDED,
+        guard: CrashGuard = UNGUARDED,
     ):
         """Creates a stream, which `open` starts.
 
@@ -123,6 +124,7 @@
             if isinstance(origin, Failure):
                 return origin
             self._origin = origin
+            await self._wait_for_endpoints()
         not_run = Failure(ResultCode.NO_ENDPOINT, "No endpoint is available.")
         ran: EndpointResponse | Failure | None = None
         while len(self._tried_endpoint_ids) < max(1, self._route.max_attempts):
@@ -373,7 +375,7 @@
 
     async def _wait_for_endpoints(self) -> list[Endpoint]:
         """Waits until the stream may resume; returns the endpoints then."""
-        waits_until = self._clock.monotonic() + STALL_TIMEOUT_S
+        waits_until = self._clock.monotonic() + RESUME_WAIT_S
         while not (endpoints := self._next_endpoints()):
             if not self._may_resume or not self._has_untried_endpoint():
                 return []
--- a/libs/peers/src/shallotstand/peers/stream_origins.py
+++ b/libs/peers/src/shallotstand/peers/stream_origins.py
@@ -71,6 +71,29 @@
         self, stream_id: str, route: Route, candidates: Sequence[Endpoint]
     ) -> StreamOrigin | Failure:
         """Chooses where a stream begins; see `StreamOrigins`."""
+        try:
+            async with asyncio.timeout(STORE_TIMEOUT_S):
+                return await self._choose(stream_id, route, candidates)
+        except TimeoutError:
+            return _NO_ANSWER
+
+    async def find(
+        self, stream_id: str, route: Route
+    ) -> StreamOrigin | Failure:
+        """Returns where a stream began; see `StreamOrigins`."""
+        if not stream_id:
+            return _unknown("The request does not name the stream's start.")
+        if stream_id in self._own_streams:
+            return self._own_streams[stream_id]
+        try:
+            async with asyncio.timeout(STORE_TIMEOUT_S):
+                return await self._find_in_store(stream_id, route)
+        except TimeoutError:
+            return _NO_ANSWER
+
+    async def _choose(
+        self, stream_id: str, route: Route, candidates: Sequence[Endpoint]
+    ) -> StreamOrigin | Failure:
         origins = list(map(StreamOrigin.from_endpoint, candidates))
         service = _service_of(route, stream_id)
         if service not in {origin.service for origin in origins}:
@@ -91,14 +114,9 @@
         self._remember(stream_id, origin)
         return origin
 
-    async def find(
+    async def _find_in_store(
         self, stream_id: str, route: Route
     ) -> StreamOrigin | Failure:
-        """Returns where a stream began; see `StreamOrigins`."""
-        if not stream_id:
-            return _unknown("The request does not name the stream's start.")
-        if stream_id in self._own_streams:
-            return self._own_streams[stream_id]
         records = await self._records.read_all()
         if isinstance(records, Failure):
             return _unknown(records.reason)
@@ -121,14 +139,9 @@
         self, stream_id: str, origin: StreamOrigin
     ) -> StreamOrigin | Failure:
         """Writes the origin of a stream, together with others."""
-        try:
-            async with asyncio.timeout(STORE_TIMEOUT_S):
-                failure = await self._records.add(
-                    stream_id,
-                    OriginRecord(**origin._asdict(), at=self._clock.wall()),
-                )
-        except TimeoutError:
-            return _unknown("The store did not take the stream's record.")
+        failure = await self._records.add(
+            stream_id, OriginRecord(**origin._asdict(), at=self._clock.wall())
+        )
         if failure is not None:
             return _unknown(failure.reason)
         logs.event(
@@ -156,3 +169,6 @@
 
 def _unknown(reason: str) -> Failure:
     return Failure(ResultCode.STREAM_ORIGIN_UNKNOWN, reason)
+
+
+_NO_ANSWER = _unknown("The store did not answer in time.")
