Check whether the endpoints of a suspected request listen

Callers: one more engine ended under a crashing request 6 s after it was known.

Cause, from its logs: no request went to one of the three engines while it was away, and its entry did not change, so its crash was taken for a reset connection.

Change: the gateway that reports a request's second or later crash opens a connection to each endpoint of it that is not known to have ended.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -96,6 +96,7 @@
         self._crash_sharing = CrashSharing(
             self._serving.crash_record,
             self._serving.endpoint_registry,
+            self._serving.client.check_listening,
             self._batch_subsystem.mesh,
             self._store,
             boot.instance,
--- a/libs/peers/src/shallotstand/peers/crash_sharing.py
+++ b/libs/peers/src/shallotstand/peers/crash_sharing.py
@@ -1,6 +1,7 @@
 """Shares what gateways know of requests under which endpoints ended."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from typing import TypedDict
 
 from absl import logging
@@ -8,7 +9,7 @@
 from shallotstand.core.clock import Clock
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.crash_record import Crash, CrashRecord
-from shallotstand.dispatch.endpoints import EndpointRegistry
+from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
 from shallotstand.documents.protocols import Document, DocumentStore
 from shallotstand.documents.single_writer_document import SingleWriterDocument
 from shallotstand.link.gateway_messages import CrashNews, CrashReport
@@ -22,6 +23,9 @@
 # Requests with fewer crashes are not written: most of them are sound, and a
 # restart of all processes costs one more crash at most.
 MIN_STORED_CRASHES = 2
+# Endpoints are checked from this many crashes of a request on, since each check
+# costs a connection.
+MIN_CHECKED_CRASHES = 2
 _MAX_AGE_MS = 2**32 - 1
 
 
@@ -44,6 +48,7 @@
         self,
         record: CrashRecord,
         endpoint_registry: EndpointRegistry,
+        check_listening: Callable[[Endpoint], Awaitable[None]],
         mesh: PeerMesh,
         store: DocumentStore,
         instance: str,
@@ -54,6 +59,8 @@
         Args:
           record: The record of this process.
           endpoint_registry: The endpoints.
+          check_listening: Tells the registry if nothing listens at the address
+            of an endpoint.
           mesh: Connections to the peers.
           store: The store, where crashes outlast the processes.
           instance: Name of the instance that the process runs on; the document
@@ -62,6 +69,8 @@
         """
         self._record = record
         self._endpoint_registry = endpoint_registry
+        self._check_listening = check_listening
+        self._check_tasks: set[asyncio.Task] = set()
         self._mesh = mesh
         self._store = store
         self._clock = clock
@@ -113,8 +122,23 @@
     def record_crash(self, crash: Crash) -> None:
         """Tells the peers that a request of this process was cut off."""
         self._own_fingerprints.add(crash.fingerprint)
+        if self._record.crash_count(crash.fingerprint) >= MIN_CHECKED_CRASHES:
+            self._check_endpoints(crash.fingerprint)
         self._mesh.broadcast(CrashNews(reports=(self._make_report(crash),)))
 
+    def _check_endpoints(self, fingerprint: bytes) -> None:
+        """Checks whether the endpoints that a request may have ended listen.
+
+        They may be back before the registry shows that they were away.
+        """
+        for crash in self._record.crashes((fingerprint,)):
+            if crash.is_confirmed or not self._is_listed(crash):
+                continue
+            endpoint = self._endpoint_registry.by_id[crash.endpoint_id]
+            task = asyncio.create_task(self._check_listening(endpoint))
+            self._check_tasks.add(task)
+            task.add_done_callback(self._check_tasks.discard)
+
     def record_cleared(self, fingerprint: bytes) -> None:
         """Tells the peers that a suspected request had a response."""
         self._mesh.broadcast(CrashNews(cleared=(fingerprint,)))
--- a/libs/peers/tests/test_crash_sharing.py
+++ b/libs/peers/tests/test_crash_sharing.py
@@ -43,11 +43,21 @@
         self.endpoints = EndpointRegistry("zone-a", clock)
         self.endpoints.by_id = endpoints
         self.record = CrashRecord(self.endpoints, clock)
+        self.checked = []
         self.sharing = CrashSharing(
-            self.record, self.endpoints, self.mesh, store, instance, clock
+            self.record,
+            self.endpoints,
+            self.check_listening,
+            self.mesh,
+            store,
+            instance,
+            clock,
         )
         self.store = store
 
+    async def check_listening(self, endpoint):
+        self.checked.append(endpoint.id)
+
     async def start(self):
         await self.registry.register()
         await self.sharing.load()
@@ -137,6 +147,23 @@
     asyncio.run(scenario())
 
 
+def test_endpoints_of_a_suspected_request_are_checked():
+    # Guards against a crash that nobody confirms, because no request happens to
+    # go to the endpoint while it is away, and against a check for each cut.
+    async def scenario():
+        store, endpoints = MemoryDocuments(), make_endpoints()
+        gateway = Gateway(store, "g0", endpoints)
+        async with running(gateway):
+            gateway.record.record_cut(CRASHING, endpoints["e1"])
+            await asyncio.sleep(0)
+            assert gateway.checked == []
+            gateway.record.record_cut(CRASHING, endpoints["e2"])
+            await asyncio.sleep(0.01)
+            assert gateway.checked == ["e1", "e2"]
+
+    asyncio.run(scenario())
+
+
 def test_crashes_are_known_after_all_gateways_ended():
     # Guards against crashes that are kept in the memory of processes only.
     async def scenario():
