Soak: read streams of two software versions and take them up

The soak had no streams to callers. Four readers now take up streams that engines or gateways break off, under all faults; events of two versions, a missing event or one that comes twice are violations, each shown on a planted one. The client that the tests used moves to the soak.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -36,6 +36,7 @@
         *_plain_call_violations(fleet, load),
         *load.conflicts,
         *_batch_violations(fleet, load),
+        *_stream_violations(load),
         *_duty_violations(fleet),
     ]
 
@@ -85,6 +86,15 @@
             yield f"{batch_id}: refused at every attempt, but an item ran"
 
 
+def _stream_violations(load: LoadGenerator) -> Iterator[str]:
+    for client in load.streams:
+        if len(client.software_versions) > 1:
+            yield f"{client.events[0]}: joined from two software versions"
+        numbers = [event.split()[1] for event in client.events]
+        if numbers != [str(number + 1) for number in range(len(numbers))]:
+            yield f"{client.events[0]}: an event is missing or stands twice"
+
+
 def _duty_violations(fleet: Fleet) -> Iterator[str]:
     counts_by_window: dict[int, dict[str, int]] = {}
     holder_by_fence: dict[int, str] = {}
--- a/soak/load.py
+++ b/soak/load.py
@@ -14,6 +14,8 @@
     results_path,
 )
 
+from soak.streams import StreamClient
+
 _NO_ANSWER_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
 CALL_TIMEOUT_S = 6.0
 ITEMS_PER_BATCH = 6
@@ -42,6 +44,7 @@
       results_by_batch: Results by batch and position, as first read.
       conflicts: Descriptions of reads that contradict an earlier response: a
         position with different content, or that is no longer readable.
+      streams: The streams that were read.
     """
 
     def __init__(self, fleet: Fleet, seed: int):
@@ -53,6 +56,7 @@
         self.refused_batches: set[str] = set()
         self.results_by_batch: dict[str, dict[int, dict]] = {}
         self.conflicts: list[str] = []
+        self.streams: list[StreamClient] = []
 
     async def send_plain_calls(self, deadline: float) -> None:
         """Sends plain calls, about half of which may run at most once."""
@@ -69,6 +73,16 @@
             )
             await asyncio.sleep(self._rng.uniform(0.01, 0.08))
 
+    async def read_streams(self, deadline: float) -> None:
+        """Reads streams, one after another; each may be taken up again."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < deadline:
+            client = StreamClient(
+                self._fleet, f"s{next(self._id_counter)}", self._rng
+            )
+            self.streams.append(client)
+            await client.read()
+
     async def submit_batches(self, deadline: float) -> None:
         """Submits batches and reads their results, each call at any gateway."""
         loop = asyncio.get_running_loop()
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,12 +13,15 @@
 from soak.load import LoadGenerator
 from soak.proxy import Mode, Proxy
 from soak.schedule import Fault, FaultEvent, draw_faults
+from soak.streams import ENGINES_PER_VERSION, make_writers
 
 # Time without faults at the end of a run, within which every accepted batch
 # has to be completed.
 RECOVERY_S = 12.0
 LOST_ANSWERS_PER_FAULT = 4
 VERSION_INTERVAL_S = 3.0
+STREAM_READERS = 4
+EVENTS_UNTIL_BREAK = 7
 _MODE_BY_FAULT = {
     Fault.DELAY: Mode.DELAY,
     Fault.CUT: Mode.CUT,
@@ -36,6 +39,7 @@
       faults: Number of faults injected.
       answered: Number of plain calls that succeeded.
       batches: Number of batches accepted.
+      streams: Number of streams that were read to the end.
       violations: Guarantees that were violated.
     """
 
@@ -44,6 +48,7 @@
     faults: int
     answered: int
     batches: int
+    streams: int
     violations: list[str]
 
 
@@ -53,7 +58,11 @@
     """Runs the programs under the faults of a seed and checks the results."""
     started = time.monotonic()
     checks_fences = seed % 2 == 0
-    async with Fleet(directory, 3, checks_fences) as fleet:
+    writers = make_writers()
+    # One engine of each version breaks its streams off.
+    for engine in writers[::ENGINES_PER_VERSION]:
+        engine.events_until_break = EVENTS_UNTIL_BREAK
+    async with Fleet(directory, 3, checks_fences, writers) as fleet:
         injector = FaultInjector(fleet, seed)
         await injector.restart_behind_proxies()
         events = draw_faults(seed, faulty_s, len(injector.machines))
@@ -63,6 +72,8 @@
             group.create_task(load.submit_batches(deadline))
             group.create_task(load.submit_batches(deadline))
             group.create_task(load.send_plain_calls(deadline))
+            for _ in range(STREAM_READERS):
+                group.create_task(load.read_streams(deadline))
             group.create_task(injector.publish_versions(deadline))
             for event in events:
                 group.create_task(injector.inject(event))
@@ -75,6 +86,7 @@
         len(events),
         sum(result.status == 200 for result in load.call_results),
         len(load.accepted_batches),
+        sum(client.is_whole for client in load.streams),
         violations,
     )
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
 )
 from soak.run import run_soak
 from soak.schedule import draw_faults
+from soak.streams import StreamClient
 
 # Seeds whose runs had violations, with the causes.
 REGRESSIONS = {
@@ -30,6 +31,7 @@
     assert outcome.violations == []
     assert outcome.batches > 0
     assert outcome.answered > 0
+    assert outcome.streams > 0
 
 
 @pytest.mark.parametrize("seed", REGRESSIONS)
@@ -97,6 +99,12 @@
     load.results_by_batch["b1"][0].update(fields)
 
 
+def _plant_stream(load, *events):
+    client = StreamClient(None, "s1", None)
+    client.events = list(events)
+    load.streams.append(client)
+
+
 @pytest.mark.parametrize(
     ("plant", "expected_text"),
     [
@@ -123,6 +131,14 @@
         (lambda _, load: load.results_by_batch["b1"].pop(2), "5 of 6"),
         (lambda _, load: _change_result(load, state="lost"), "lost"),
         (lambda _, load: _change_result(load, text="cut"), "unexpected text"),
+        (
+            lambda _, load: _plant_stream(load, "s1 1 old", "s1 2 new"),
+            "two software versions",
+        ),
+        (
+            lambda _, load: _plant_stream(load, "s1 1 old", "s1 3 old"),
+            "missing or stands twice",
+        ),
         (
             lambda _, load: _change_result(load, versions=[]),
             "no weight version",
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -8,122 +8,23 @@
 import itertools
 import random
 import signal
-import time
-from typing import NamedTuple
 
 import aiohttp
 import orjson
 import pytest
 from shallotstand.standins.fleet import (
-    HOST,
     Fleet,
     batch_submission,
     results_path,
 )
-from shallotstand.standins.fleet_engine import FleetEngine
+
+from soak.streams import EVENTS, StreamClient, make_writers
 
 GATEWAYS = 3
 STREAMS = 24
-EVENTS = 20
-# How often a client takes a stream up again.
-TAKE_UPS = 5
 REFUSED_WITHIN_S = 0.5
 
 
-class StreamEnd(NamedTuple):
-    """The end of one attempt of a client."""
-
-    status: int
-    is_whole: bool
-    seconds: float
-
-
-class Client:
-    """Reads one stream, and takes it up again when it breaks off."""
-
-    def __init__(self, fleet, name, rng):
-        self._fleet = fleet
-        self._rng = rng
-        self._numbers = itertools.count()
-        self._name = name
-        self.first_attempt_id = ""
-        self.events = []
-        self.ends = []
-
-    @property
-    def versions(self):
-        """Software versions whose events the stream holds."""
-        return {event.rpartition(" ")[2] for event in self.events}
-
-    @property
-    def is_whole(self):
-        return len(self.events) == EVENTS
-
-    @property
-    def took_up(self):
-        return len(self.ends) > 1
-
-    async def read(self, take_ups=TAKE_UPS):
-        for _ in range(take_ups + 1):
-            await self.attempt()
-            if self.is_whole:
-                return
-            await asyncio.sleep(0.3)
-
-    async def attempt(self, resumes=None):
-        attempt_id = f"{self._name}-{next(self._numbers)}"
-        gateway = self._rng.choice(self._fleet.gateways)
-        headers = {
-            "Host": HOST,
-            "Authorization": "Token key-1",
-            "Connection": "close",
-            "X-Shallotstand-Attempt-Id": attempt_id,
-            "X-Shallotstand-Deadline-Ms": "12000",
-        }
-        if self.events:
-            headers["Last-Event-Id"] = str(len(self.events))
-            named = self.first_attempt_id if resumes is None else resumes
-            if named:
-                headers["Resumes"] = named
-        started = time.monotonic()
-        status, is_whole = 0, False
-        with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
-            async with (
-                asyncio.timeout(12.0),
-                self._fleet.session.post(
-                    f"http://{gateway.front_address}/events/{self._name}",
-                    data=self._name,
-                    headers=headers,
-                ) as response,
-            ):
-                status = response.status
-                if status == 200:
-                    await self._read_events(response, attempt_id)
-                    is_whole = True
-        self.ends.append(
-            StreamEnd(status, is_whole, time.monotonic() - started)
-        )
-
-    async def _read_events(self, response, attempt_id):
-        async for line in response.content:
-            if line.startswith(b"data: "):
-                if not self.events:
-                    self.first_attempt_id = attempt_id
-                self.events.append(line[6:].decode().strip())
-
-
-def make_writers():
-    return tuple(
-        FleetEngine(
-            f"w{number}",
-            event_count=EVENTS,
-            service="writers",
-            software_version="old" if number < 2 else "new",
-        )
-        for number in range(4)
-    )
-
-
 def run_scenario(directory, scenario, writers=None):
     async def run_with_fleet():
         engines = make_writers() if writers is None else writers
@@ -135,11 +36,11 @@
 
 def make_clients(fleet, count=STREAMS, seed=1, prefix="s"):
     rng = random.Random(seed)
-    return [Client(fleet, f"{prefix}{n}", rng) for n in range(count)]
+    return [StreamClient(fleet, f"{prefix}{n}", rng) for n in range(count)]
 
 
 def joined(clients):
-    return [client for client in clients if len(client.versions) > 1]
+    return [client for client in clients if len(client.software_versions) > 1]
 
 
 async def kill_all(fleet):
@@ -185,7 +86,10 @@
         assert joined(clients) == []
         assert sum(client.is_whole for client in clients) >= STREAMS / 2
         # Both versions are used.
-        assert {v for c in clients for v in c.versions} == {"old", "new"}
+        assert {v for c in clients for v in c.software_versions} == {
+            "old",
+            "new",
+        }
 
     run_scenario(directory, scenario)
 
@@ -198,7 +102,7 @@
         tasks = await read_until(clients, 3)
         await restart_all(fleet)
         await asyncio.gather(*tasks)
-        assert all(client.took_up for client in clients)
+        assert all(len(client.ends) > 1 for client in clients)
         assert joined(clients) == []
         assert sum(client.is_whole for client in clients) >= STREAMS / 2
         later = make_clients(fleet, prefix="later")
@@ -223,8 +127,8 @@
         await start_all(fleet)
         await asyncio.gather(*tasks)
         assert joined(clients) == []
-        left = [c for c in clients if c.versions != {newest}]
-        stayed = [c for c in clients if c.versions == {newest}]
+        left = [c for c in clients if c.software_versions != {newest}]
+        stayed = [c for c in clients if c.software_versions == {newest}]
         assert left
         for client in left:
             refused = [end for end in client.ends if end.status not in (0, 200)]
@@ -266,7 +170,7 @@
     async def scenario(fleet):
         client = make_clients(fleet, 1)[0]
         client.events = ["e 1 old"]
-        await client.attempt(resumes="")
+        await client.attempt("")
         assert client.ends[0].status == 503
         assert client.ends[0].seconds < REFUSED_WITHIN_S
         assert client.events == ["e 1 old"]
