Read the diff: one tuple of decoding errors, names, and states that are written

One tuple names the errors of decoding content instead of five copies. The guard of a request is named for the crash record. A crash that is confirmed later is written again, so that it is known as such after a restart. An identifier of a stream that is no text can be recorded.

--- a/libs/batches/src/shallotstand/batches/checkpoints.py
+++ b/libs/batches/src/shallotstand/batches/checkpoints.py
@@ -9,7 +9,11 @@
 from shallotstand.core import logs
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
-from shallotstand.documents.protocols import Document, DocumentStore
+from shallotstand.documents.protocols import (
+    MALFORMED_CONTENT,
+    Document,
+    DocumentStore,
+)
 from shallotstand.documents.single_writer_document import SingleWriterDocument
 
 PROGRESS_KIND = "batch-progress"
@@ -156,7 +160,7 @@
             (item_id, _parse_record(record))
             for item_id, record in document.spec.items()
         ]
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except MALFORMED_CONTENT as error:
         logs.event(
             logging.ERROR,
             "Checkpoint can't be read",
--- a/libs/batches/src/shallotstand/batches/registry.py
+++ b/libs/batches/src/shallotstand/batches/registry.py
@@ -16,7 +16,7 @@
     submission_from_spec,
 )
 from shallotstand.core import logs
-from shallotstand.documents.protocols import Change, Document
+from shallotstand.documents.protocols import MALFORMED_CONTENT, Change, Document
 
 
 class Batch:
@@ -148,7 +148,7 @@
             return
         try:
             self._apply(batch_id, suffix, document)
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
+        except MALFORMED_CONTENT as error:
             logs.event(
                 logging.ERROR,
                 "Entry of the batch log can't be read",
--- a/libs/dispatch/src/shallotstand/dispatch/crash_guard.py
+++ b/libs/dispatch/src/shallotstand/dispatch/crash_guard.py
@@ -55,7 +55,7 @@
 UNGUARDED = Unguarded()
 
 
-class RecordedRequest:
+class CrashRecordGuard:
     """Implements `CrashGuard` for a caller's request."""
 
     def __init__(self, record: CrashRecord, endpoint_request: EndpointRequest):
--- a/libs/dispatch/src/shallotstand/dispatch/request_handler.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_handler.py
@@ -8,7 +8,7 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import ClientAccount, Configuration, Route
-from shallotstand.dispatch.crash_guard import RecordedRequest
+from shallotstand.dispatch.crash_guard import CrashRecordGuard
 from shallotstand.dispatch.crash_record import CrashRecord
 from shallotstand.dispatch.endpoint_client import (
     CallerRequest,
@@ -139,7 +139,7 @@
         endpoint_request = build_endpoint_request(
             request, route, admitted.account_name
         )
-        guard = RecordedRequest(self._crash_record, endpoint_request)
+        guard = CrashRecordGuard(self._crash_record, endpoint_request)
         budget_s = _budget_s(request, route)
         refusal = guard.refusal() or self._stop_refusal(
             min(budget_s, self._expected_s(route))
@@ -174,7 +174,7 @@
         endpoint_request = build_endpoint_request(
             request, admitted.route, admitted.account_name
         )
-        guard = RecordedRequest(self._crash_record, endpoint_request)
+        guard = CrashRecordGuard(self._crash_record, endpoint_request)
         budget_s = _budget_s(request, admitted.route)
         refusal = guard.refusal() or self._stop_refusal(budget_s)
         if refusal is not None:
--- a/libs/dispatch/tests/test_crash_record.py
+++ b/libs/dispatch/tests/test_crash_record.py
@@ -3,7 +3,7 @@
 import pytest
 from shallotstand.core.clock import ManualClock
 from shallotstand.core.codes import ResultCode
-from shallotstand.dispatch.crash_guard import RecordedRequest
+from shallotstand.dispatch.crash_guard import CrashRecordGuard
 from shallotstand.dispatch.crash_record import (
     CONFIRMATION_S,
     MAX_CRASHES,
@@ -198,18 +198,18 @@
     request = EndpointRequest(
         "POST", "/a", "host", (), b"body", "r1", "account", True
     )
-    RecordedRequest(environment.record, request).record_cut(
+    CrashRecordGuard(environment.record, request).record_cut(
         environment.endpoints["e1"]
     )
     for name in ("e2", "e3"):
-        RecordedRequest(
+        CrashRecordGuard(
             environment.record, request._replace(request_id=name)
         ).record_cut(environment.endpoints[name])
     copy = request._replace(request_id="r9")
-    assert RecordedRequest(environment.record, copy).refusal() is not None
+    assert CrashRecordGuard(environment.record, copy).refusal() is not None
     for other in (
         request._replace(body=b"other"),
         request._replace(account="other"),
         request._replace(target="/b"),
     ):
-        assert RecordedRequest(environment.record, other).refusal() is None
+        assert CrashRecordGuard(environment.record, other).refusal() is None
--- a/libs/documents/src/shallotstand/documents/protocols.py
+++ b/libs/documents/src/shallotstand/documents/protocols.py
@@ -4,6 +4,16 @@
 
 from shallotstand.core.failure import Failure
 
+# Errors that decoding raises if content has other fields, types or ranges than
+# expected. Other programs write to the store, too.
+MALFORMED_CONTENT = (
+    AttributeError,
+    KeyError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
+
 
 class Document(NamedTuple):
     """A document in the store.
--- a/libs/duties/src/shallotstand/duties/usage_counts.py
+++ b/libs/duties/src/shallotstand/duties/usage_counts.py
@@ -8,7 +8,11 @@
 from shallotstand.core.clock import Clock
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.usage import UsageMeter
-from shallotstand.documents.protocols import Document, DocumentStore
+from shallotstand.documents.protocols import (
+    MALFORMED_CONTENT,
+    Document,
+    DocumentStore,
+)
 from shallotstand.documents.single_writer_document import SingleWriterDocument
 
 COUNTS_KIND = "usage-counts"
@@ -127,13 +131,7 @@
             # Earlier versions of this program wrote in each window.
             is_idle=bool(spec.get("is_idle")),
         )
-    except (
-        AttributeError,
-        KeyError,
-        OverflowError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except MALFORMED_CONTENT as error:
         logs.event(
             logging.ERROR,
             "Usage counts can't be read",
--- a/libs/peers/src/shallotstand/peers/crash_sharing.py
+++ b/libs/peers/src/shallotstand/peers/crash_sharing.py
@@ -10,7 +10,11 @@
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.crash_record import Crash, CrashRecord
 from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
-from shallotstand.documents.protocols import Document, DocumentStore
+from shallotstand.documents.protocols import (
+    MALFORMED_CONTENT,
+    Document,
+    DocumentStore,
+)
 from shallotstand.documents.single_writer_document import SingleWriterDocument
 from shallotstand.link.gateway_messages import CrashNews, CrashReport
 from shallotstand.link.link import Link
@@ -103,10 +107,7 @@
             await asyncio.sleep(REVIEW_INTERVAL_S)
             self._tell_of_refused_connections(self._record.review())
             entries = self._entries()
-            if entries.keys() == self._written.keys() and all(
-                len(entries[name]) == len(self._written[name])
-                for name in entries
-            ):
+            if _state_of(entries) == _state_of(self._written):
                 continue
             failure = await self._document.write(entries)
             if failure is None:
@@ -225,13 +226,7 @@
                 for name, entries in document.spec.items()
                 for entry in entries
             ]
-        except (
-            AttributeError,
-            KeyError,
-            OverflowError,
-            TypeError,
-            ValueError,
-        ) as error:
+        except MALFORMED_CONTENT as error:
             logs.event(
                 logging.ERROR,
                 "Crashing requests can't be read",
@@ -240,3 +235,13 @@
                 error=repr(error),
             )
             return []
+
+
+def _state_of(
+    entries: dict[str, list[CrashEntry]],
+) -> dict[str, list[tuple[str, bool]]]:
+    """Returns what has to be written if it changes."""
+    return {
+        name: [(entry["endpoint"], entry["is_confirmed"]) for entry in crashes]
+        for name, crashes in entries.items()
+    }
--- a/libs/peers/src/shallotstand/peers/stream_origins.py
+++ b/libs/peers/src/shallotstand/peers/stream_origins.py
@@ -71,6 +71,7 @@
         self, stream_id: str, route: Route, candidates: Sequence[Endpoint]
     ) -> StreamOrigin | Failure:
         """Chooses where a stream begins; see `StreamOrigins`."""
+        stream_id = _encodable(stream_id)
         try:
             async with asyncio.timeout(STORE_TIMEOUT_S):
                 return await self._choose(stream_id, route, candidates)
@@ -83,6 +84,7 @@
         """Returns where a stream began; see `StreamOrigins`."""
         if not stream_id:
             return _unknown("The request does not name the stream's start.")
+        stream_id = _encodable(stream_id)
         if stream_id in self._own_streams:
             return self._own_streams[stream_id]
         try:
@@ -167,6 +169,11 @@
     )[1].service
 
 
+def _encodable(stream_id: str) -> str:
+    # Headers of callers may have bytes that are no text.
+    return stream_id.encode("utf-8", "backslashreplace").decode()
+
+
 def _unknown(reason: str) -> Failure:
     return Failure(ResultCode.STREAM_ORIGIN_UNKNOWN, reason)
 
--- a/libs/peers/src/shallotstand/peers/stream_plans.py
+++ b/libs/peers/src/shallotstand/peers/stream_plans.py
@@ -18,7 +18,11 @@
     is_outdated,
     observe_shares,
 )
-from shallotstand.documents.protocols import Document, DocumentStore
+from shallotstand.documents.protocols import (
+    MALFORMED_CONTENT,
+    Document,
+    DocumentStore,
+)
 
 PLANS_KIND = "stream-plans"
 # A plan changes once the endpoints have differed from it in this many
@@ -119,13 +123,7 @@
             return None
         try:
             plan = _from_spec(document.spec)
-        except (
-            AttributeError,
-            KeyError,
-            OverflowError,
-            TypeError,
-            ValueError,
-        ) as error:
+        except MALFORMED_CONTENT as error:
             logs.event(
                 logging.ERROR,
                 "Plan of streams can't be read",
--- a/libs/peers/tests/test_stream_origins.py
+++ b/libs/peers/tests/test_stream_origins.py
@@ -157,6 +157,18 @@
     run(scenario)
 
 
+def test_identifier_that_is_no_text_is_known():
+    # Guards against an error for a caller's header that is no UTF-8.
+    async def scenario(store):
+        process = Process(store)
+        began = await begin_all(process, ["\udcff", "\udcfe"])
+        process.set_versions(("new",))
+        began |= await begin_all(process, ["\udcfd", "\udcfc", "\udcfb"])
+        await check_all(Process(store, "g1"), began)
+
+    run(scenario)
+
+
 def test_stream_of_which_nothing_is_known_is_refused():
     # Guards against a guess.
     async def scenario(store):
