--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -50,7 +50,11 @@
 def _run_and_keep_logs(seed: int, faulty_s: float, keep: str) -> Outcome:
     with tempfile.TemporaryDirectory() as folder:
         directory = pathlib.Path(folder)
-        outcome = asyncio.run(run_soak(seed, faulty_s, directory))
+        try:
+            outcome = asyncio.run(run_soak(seed, faulty_s, directory))
+        except (OSError, TimeoutError) as error:
+            # The logs of a run that could not start or end are kept, too.
+            outcome = Outcome(seed, 0.0, 0, 0, 0, 0, [f"broken off: {error!r}"])
         if outcome.violations and keep:
             log_folder = pathlib.Path(keep) / f"seed-{seed}"
             log_folder.mkdir(parents=True, exist_ok=True)
