--- a/soak/streams.py
+++ b/soak/streams.py
@@ -55,11 +55,17 @@
         return len(self.events) == EVENTS
 
     async def read(self, max_take_ups: int = MAX_TAKE_UPS) -> None:
-        """Reads the stream until it is whole, and takes it up if needed."""
-        for _ in range(max_take_ups + 1):
+        """Reads the stream until it is whole, and takes it up if needed.
+
+        Attempts without a response don't count while gateways are down.
+        """
+        deadline = time.monotonic() + DEADLINE_S
+        response_count = 0
+        while response_count <= max_take_ups and time.monotonic() < deadline:
             await self.attempt(self._first_attempt_id)
             if self.is_whole:
                 return
+            response_count += self.ends[-1].status != 0
             await asyncio.sleep(TAKE_UP_DELAY_S)
 
     async def attempt(self, resumed_id: str) -> None:
