--- a/libs/dispatch/src/shallotstand/dispatch/stream_plan.py
+++ b/libs/dispatch/src/shallotstand/dispatch/stream_plan.py
@@ -31,7 +31,7 @@
 MIN_SHARE_CHANGE = 4
 
 
-class Epoch(NamedTuple):
+class Period(NamedTuple):
     """The shares of the software versions of a service from a time on.
 
     Attributes:
@@ -43,7 +43,7 @@
     began_at: float
 
     def version_of(self, stream_id: str) -> str:
-        """Returns the version that begins a stream in this epoch."""
+        """Returns the version that begins a stream in this period."""
         return max(
             (
                 (rendezvous.weight(stream_id, f"{version}/{number}"), version)
@@ -54,14 +54,14 @@
 
 
 class StreamPlan(NamedTuple):
-    """The epochs of a service, the oldest first; never empty."""
+    """The periods of a service, the oldest first; never empty."""
 
-    epochs: tuple[Epoch, ...]
+    periods: tuple[Period, ...]
 
     @property
-    def current(self) -> Epoch:
-        """The epoch in force."""
-        return self.epochs[-1]
+    def current(self) -> Period:
+        """The period in force."""
+        return self.periods[-1]
 
     def is_recorded(self, stream_id: str, version: str, now: float) -> bool:
         """Returns whether a stream that begins now has to be recorded.
@@ -72,26 +72,26 @@
           now: Unix time in seconds.
         """
         return any(
-            epoch.version_of(stream_id) != version
-            for epoch in self._epochs_since(now - RECORD_WINDOW_S)
+            period.version_of(stream_id) != version
+            for period in self._periods_since(now - RECORD_WINDOW_S)
         )
 
     def unrecorded_version(self, stream_id: str, now: float) -> str:
         """Returns the version that began a stream without a record."""
-        oldest = self._epochs_since(now - CONTINUATION_WINDOW_S)[0]
+        oldest = self._periods_since(now - CONTINUATION_WINDOW_S)[0]
         return oldest.version_of(stream_id)
 
-    def with_epoch(self, epoch: Epoch) -> "StreamPlan":
-        """Returns the plan with a new epoch, without those long past."""
-        kept = self._epochs_since(epoch.began_at - 2 * RECORD_WINDOW_S)
-        return StreamPlan((*kept, epoch))
+    def with_period(self, period: Period) -> "StreamPlan":
+        """Returns the plan with a new period, without those long past."""
+        kept = self._periods_since(period.began_at - 2 * RECORD_WINDOW_S)
+        return StreamPlan((*kept, period))
 
-    def _epochs_since(self, since: float) -> tuple[Epoch, ...]:
-        """Returns the epochs that were in force at some time since then."""
+    def _periods_since(self, since: float) -> tuple[Period, ...]:
+        """Returns the periods that were in force at some time since then."""
         return tuple(
-            epoch
-            for epoch, following in zip(
-                self.epochs, (*self.epochs[1:], None), strict=True
+            period
+            for period, following in zip(
+                self.periods, (*self.periods[1:], None), strict=True
             )
             if following is None or following.began_at >= since
         )
@@ -109,12 +109,12 @@
     }
 
 
-def is_outdated(epoch: Epoch, share_by_version: dict[str, int]) -> bool:
-    """Returns whether observed shares call for a new epoch."""
+def is_outdated(period: Period, share_by_version: dict[str, int]) -> bool:
+    """Returns whether observed shares call for a new period."""
     return bool(share_by_version) and (
-        epoch.share_by_version.keys() != share_by_version.keys()
+        period.share_by_version.keys() != share_by_version.keys()
         or any(
-            abs(share - epoch.share_by_version[version]) >= MIN_SHARE_CHANGE
+            abs(share - period.share_by_version[version]) >= MIN_SHARE_CHANGE
             for version, share in share_by_version.items()
         )
     )
--- a/libs/dispatch/tests/test_stream_plan.py
+++ b/libs/dispatch/tests/test_stream_plan.py
@@ -10,7 +10,7 @@
     MAX_STREAM_S,
     MIN_SHARE_CHANGE,
     SHARES,
-    Epoch,
+    Period,
     StreamPlan,
     is_outdated,
     observe_shares,
@@ -31,10 +31,12 @@
     # Guards against streams that are joined from two versions because the plan
     # has changed since, or because a process followed an outdated one.
     rng = random.Random(seed)
-    plans = [StreamPlan((Epoch(random_shares(rng), 0.0),))]
+    plans = [StreamPlan((Period(random_shares(rng), 0.0),))]
     for _ in range(8):
         began_at = plans[-1].current.began_at + rng.choice((1.0, 30.0, 400.0))
-        plans.append(plans[-1].with_epoch(Epoch(random_shares(rng), began_at)))
+        plans.append(
+            plans[-1].with_period(Period(random_shares(rng), began_at))
+        )
     starts = [plan.current.began_at for plan in plans]
 
     def plan_at(now, lag_s):
@@ -59,9 +61,9 @@
 
 def test_versions_get_streams_by_their_shares():
     # Guards against engines that stay idle because few streams begin there.
-    epoch = Epoch({"v1": 12, "v2": 4}, 0.0)
+    period = Period({"v1": 12, "v2": 4}, 0.0)
     counts = collections.Counter(
-        epoch.version_of(f"stream-{number}") for number in range(4000)
+        period.version_of(f"stream-{number}") for number in range(4000)
     )
     assert counts["v2"] / counts.total() == pytest.approx(0.25, abs=0.03)
 
@@ -73,18 +75,18 @@
         make_endpoint(f"e{number}", software_version=f"v{number % 2}")
         for number in range(8)
     ]
-    epoch = Epoch(observe_shares(endpoints), 0.0)
-    assert epoch.share_by_version == {"v0": SHARES // 2, "v1": SHARES // 2}
-    assert not is_outdated(epoch, observe_shares(endpoints[1:]))
-    assert not is_outdated(epoch, {})
-    assert is_outdated(epoch, {"v0": SHARES})
+    period = Period(observe_shares(endpoints), 0.0)
+    assert period.share_by_version == {"v0": SHARES // 2, "v1": SHARES // 2}
+    assert not is_outdated(period, observe_shares(endpoints[1:]))
+    assert not is_outdated(period, {})
+    assert is_outdated(period, {"v0": SHARES})
     moved = SHARES // 2 + MIN_SHARE_CHANGE
-    assert is_outdated(epoch, {"v0": moved, "v1": SHARES - moved})
+    assert is_outdated(period, {"v0": moved, "v1": SHARES - moved})
 
 
-def test_old_epochs_are_dropped():
+def test_old_periods_are_dropped():
     # Guards against a plan that grows with each change.
-    plan = StreamPlan((Epoch({"v1": 1}, 0.0),))
+    plan = StreamPlan((Period({"v1": 1}, 0.0),))
     for number in range(1, 200):
-        plan = plan.with_epoch(Epoch({"v1": 1}, number * 60.0))
-    assert len(plan.epochs) < 12
+        plan = plan.with_period(Period({"v1": 1}, number * 60.0))
+    assert len(plan.periods) < 12
--- a/libs/peers/src/shallotstand/peers/stream_plans.py
+++ b/libs/peers/src/shallotstand/peers/stream_plans.py
@@ -13,7 +13,7 @@
 from shallotstand.dispatch.stream_plan import (
     MAX_PLAN_AGE_S,
     SHARES,
-    Epoch,
+    Period,
     StreamPlan,
     is_outdated,
     observe_shares,
@@ -103,9 +103,9 @@
             shares = observe_shares(self._endpoint_registry.active(service))
             if not shares:
                 return document
-            epoch = Epoch(shares, self._clock.wall())
+            period = Period(shares, self._clock.wall())
             document = await self._store.create(
-                PLANS_KIND, service, _to_spec(StreamPlan((epoch,)))
+                PLANS_KIND, service, _to_spec(StreamPlan((period,)))
             )
             if isinstance(document, Failure):
                 # Another process may have created it.
@@ -138,7 +138,7 @@
                 "Plan of streams in force",
                 service=service,
                 shares=plan.current.share_by_version,
-                epochs=len(plan.epochs),
+                periods=len(plan.periods),
                 revision=document.revision,
             )
         self._stored_by_service[service] = _StoredPlan(
@@ -156,7 +156,7 @@
         self._difference_count_by_service[service] = count
         if count < COMPARISONS_TO_CHANGE:
             return
-        plan = stored.plan.with_epoch(Epoch(shares, self._clock.wall()))
+        plan = stored.plan.with_period(Period(shares, self._clock.wall()))
         document = await self._store.replace(
             PLANS_KIND, service, _to_spec(plan), stored.revision
         )
@@ -164,7 +164,7 @@
 
 
 def _to_spec(plan: StreamPlan) -> dict[str, Any]:
-    return {"epochs": [epoch._asdict() for epoch in plan.epochs]}
+    return {"periods": [period._asdict() for period in plan.periods]}
 
 
 def _from_spec(spec: Any) -> StreamPlan:
@@ -174,16 +174,18 @@
       AttributeError, KeyError, OverflowError, TypeError, ValueError: It is
         malformed.
     """
-    epochs = tuple(
-        Epoch(
+    periods = tuple(
+        Period(
             {
                 str(version): min(2 * SHARES, int(share))
                 for version, share in fields["share_by_version"].items()
             },
             float(fields["began_at"]),
         )
-        for fields in spec["epochs"]
+        for fields in spec["periods"]
     )
-    if not epochs or not all(any(e.share_by_version.values()) for e in epochs):
-        raise ValueError("an epoch has no shares")
-    return StreamPlan(epochs)
+    if not periods or not all(
+        any(e.share_by_version.values()) for e in periods
+    ):
+        raise ValueError("a period has no shares")
+    return StreamPlan(periods)
--- a/libs/peers/tests/test_stream_origins.py
+++ b/libs/peers/tests/test_stream_origins.py
@@ -133,7 +133,7 @@
             streams = [f"later-{number}-{stream}" for stream in STREAMS]
             began |= await begin_all(process, streams)
         document = await store.get(PLANS_KIND, "engines")
-        assert len(document.spec["epochs"]) == 3
+        assert len(document.spec["periods"]) == 3
         await check_all(Process(store, "g1"), began)
 
     run(scenario)
@@ -185,9 +185,9 @@
         None,
         [],
         {},
-        {"epochs": []},
-        {"epochs": [{"share_by_version": {}, "began_at": 1.0}]},
-        {"epochs": [{"share_by_version": {"a": 1e999}, "began_at": 1.0}]},
+        {"periods": []},
+        {"periods": [{"share_by_version": {}, "began_at": 1.0}]},
+        {"periods": [{"share_by_version": {"a": 1e999}, "began_at": 1.0}]},
     ],
 )
 def test_odd_plan_refuses_streams_without_ending_the_process(spec):
