--- a/soak/load.py
+++ b/soak/load.py
@@ -50,6 +50,8 @@
     def __init__(self, fleet: Fleet, seed: int):
         self._fleet = fleet
         self._rng = random.Random(seed)
+        # Streams leave the other choices of a seed as they were without them.
+        self._stream_rng = random.Random(f"streams {seed}")
         self._id_counter = itertools.count()
         self.call_results: list[CallResult] = []
         self.accepted_batches: set[str] = set()
@@ -78,7 +80,7 @@
         loop = asyncio.get_running_loop()
         while loop.time() < deadline:
             client = StreamClient(
-                self._fleet, f"s{next(self._id_counter)}", self._rng
+                self._fleet, f"s{next(self._id_counter)}", self._stream_rng
             )
             self.streams.append(client)
             await client.read()
