--- a/libs/peers/tests/test_crash_sharing.py
+++ b/libs/peers/tests/test_crash_sharing.py
@@ -95,6 +95,15 @@
             await asyncio.sleep(0.02)
 
 
+async def wait_until_connected(gateways):
+    peers = len(gateways) - 1
+    await wait_until(
+        lambda: all(
+            len(gateway.mesh._links_by_process) == peers for gateway in gateways
+        )
+    )
+
+
 def make_endpoints():
     return {name: make_endpoint(name) for name in ("e1", "e2", "e3")}
 
@@ -104,6 +113,13 @@
     del endpoints[name]
 
 
+def is_stored(store, instance):
+    document = store._documents.get((CRASHES_KIND, instance))
+    return document is not None and all(
+        len(entries) == MAX_CRASHES for entries in document.spec.values()
+    )
+
+
 def is_refused(gateway):
     return gateway.record.refusal(CRASHING) is not None
 
@@ -115,8 +131,7 @@
         store, endpoints = MemoryDocuments(), make_endpoints()
         gateways = [Gateway(store, f"g{n}", endpoints) for n in range(3)]
         async with running(*gateways):
-            await wait_until(lambda: all(g.mesh._links for g in gateways))
-            await asyncio.sleep(0.6)
+            await wait_until_connected(gateways)
             for gateway, name in zip(gateways, list(endpoints), strict=True):
                 crash(gateway, name, endpoints)
             await wait_until(lambda: all(map(is_refused, gateways)))
@@ -133,8 +148,7 @@
         store, endpoints = MemoryDocuments(), make_endpoints()
         gateways = [Gateway(store, f"g{n}", endpoints) for n in range(2)]
         async with running(*gateways):
-            await wait_until(lambda: all(g.mesh._links for g in gateways))
-            await asyncio.sleep(0.6)
+            await wait_until_connected(gateways)
             gateways[0].record.record_cut(CRASHING, endpoints["e1"])
             gateways[0].endpoints.record_refused_connection("e1")
             await wait_until(
@@ -172,7 +186,7 @@
         async with running(first):
             for name in list(endpoints):
                 crash(first, name, endpoints)
-            await asyncio.sleep(2 * REVIEW_INTERVAL_S)
+            await wait_until(lambda: is_stored(store, "g0"))
         for instance in ("g0", "g1"):
             later = Gateway(store, instance, endpoints)
             async with running(later):
--- a/tests/adapter/test_engines.py
+++ b/tests/adapter/test_engines.py
@@ -397,9 +397,6 @@
             assert sent_at <= SystemClock().monotonic()
             recorded.append((endpoint_id, requests_per_s))
 
-        def record_refused_connection(self, endpoint_id):
-            recorded.append((endpoint_id, "refused"))
-
     replies = iter(heads)
 
     async def run_with_server():
