--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,8 +7,8 @@
 from deployment import Deployment, Record, call, route, run_case
 from engine_standin import EngineStandin, Request, reset
 
-REQUESTS = 100
-PAUSE_S = 0.04
+REQUESTS = 400
+PAUSE_S = 0.01
 # Largest dose of the site file: a half of the servers, 5 of 100 answers, 4 s.
 LOSING_SERVERS = 2
 LOST_EACH = 20
@@ -20,13 +20,19 @@
 
     loses_answers = False
 
+    def __init__(self, *arguments: object) -> None:
+        super().__init__(*arguments)
+        self._count_by_kind: collections.Counter[bool] = collections.Counter()
+
     async def answer(
         self, request: Request, writer: asyncio.StreamWriter
     ) -> None:
         """Runs a request; resets its channel instead of some answers."""
         self.record_run(request)
         await asyncio.sleep(self.work_s)
-        if self.loses_answers and len(self.runs) % LOST_EACH == 0:
+        is_post = request.method == "POST"
+        self._count_by_kind[is_post] += 1
+        if self.loses_answers and self._count_by_kind[is_post] % LOST_EACH == 0:
             self.log(f"{self.name} loses the answer to {request.id}")
             reset(writer)
             return
