--- a/review/common/engine_standin.py
+++ b/review/common/engine_standin.py
@@ -71,7 +71,9 @@
 
 
 def reset(writer: asyncio.StreamWriter) -> None:
-    """Resets a channel."""
+    """Resets a channel unless it is closed."""
+    if writer.is_closing():
+        return
     writer.get_extra_info("socket").setsockopt(
         socket.SOL_SOCKET, socket.SO_LINGER, _RESET
     )
