--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -422,7 +422,7 @@
 
         try:
             status = asyncio.run(run())
-        except (CannotRunError, OSError, TimeoutError) as error:
+        except Exception as error:
             log(f"the case could not run: {error!r}")
         finally:
             for machine in deployment.machines:
