--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,7 @@
 from deployment import Deployment, Record, call, route, run_case
 from engine_standin import EngineStandin, Request, reset
 
-REQUESTS = 400
+REQUESTS = 340
 PAUSE_S = 0.01
 # Largest dose of the site file: a half of the servers, 5 of 100 answers, 4 s.
 LOSING_SERVERS = 2
