Log why an item is given up, and under which configuration

Callers (review/2) saw all items of an accepted batch listed as lost within 4 s of the 202, item_ttl_s 40. The log line of each item said 'time to live exceeded', which is also what an item that waited too long says, so three hypotheses could not be told apart from the logs: a route that the process doesn't know, a clock that is ahead of the submitter's, errors of engines.

'Item given up' now says 'no route' where that is the reason, with the age of the batch and the version of the configuration; 'Batch runs here' names that version, too.

--- a/libs/batches/src/shallotstand/batches/runner.py
+++ b/libs/batches/src/shallotstand/batches/runner.py
@@ -14,6 +14,7 @@
 from shallotstand.core import logs
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
+from shallotstand.dispatch.config import Route
 
 # Results that arrive within this time are listed in one entry, since every
 # write to the store is billed, and so is every watch that reports it.
@@ -182,6 +183,7 @@
             items=len(batch.items_by_id),
             listed=len(batch.listed_ids),
             min_version=batch.submission.min_version,
+            config_version=self._dependencies.configuration().version,
         )
         task = asyncio.create_task(self._run_batch(batch))
         self._tasks_by_batch[batch.id] = task
@@ -272,11 +274,7 @@
                 write_s=round(
                     self._dependencies.clock.monotonic() - started, 4
                 ),
-                age_s=round(
-                    self._dependencies.clock.wall()
-                    - batch.submission.submitted_at,
-                    3,
-                ),
+                age_s=round(self._age_s(batch), 3),
             )
 
     async def _run_item(
@@ -300,7 +298,11 @@
                 "Item given up",
                 batch=batch.id,
                 item=item.id,
-                reason="time to live exceeded",
+                reason="time to live exceeded"
+                if self._has_route(batch)
+                else "no route",
+                age_s=round(self._age_s(batch), 3),
+                config_version=self._dependencies.configuration().version,
             )
             result = Result(item.id, ResultState.LOST, "", (), "")
         finally:
@@ -335,14 +337,22 @@
         )
 
     def _time_left_s(self, batch: Batch) -> float:
-        submission = batch.submission
-        route = self._dependencies.configuration().match_route(
-            submission.host, submission.route_path
-        )
+        route = self._find_route(batch)
         if isinstance(route, Failure):
             return 0.0
-        age_s = self._dependencies.clock.wall() - submission.submitted_at
-        return max(0.0, route.item_ttl_s - age_s)
+        return max(0.0, route.item_ttl_s - self._age_s(batch))
+
+    def _has_route(self, batch: Batch) -> bool:
+        return not isinstance(self._find_route(batch), Failure)
+
+    def _find_route(self, batch: Batch) -> Route | Failure:
+        return self._dependencies.configuration().match_route(
+            batch.submission.host, batch.submission.route_path
+        )
+
+    def _age_s(self, batch: Batch) -> float:
+        """Returns the seconds since the batch was submitted."""
+        return self._dependencies.clock.wall() - batch.submission.submitted_at
 
 
 def _listing_delay_s(batch: Batch) -> float:
