Run a batch only under the configuration that admitted it, or a newer one

Cause: a gateway that the store does not answer is handed a batch by a peer that already has the route. `BatchRunner._time_left_s` took a route that is not in its configuration for one that was removed, so that each item got no time at all. Whoever created the entry of results first, here or at the peer that took over, fixed the state of the items for good.

Ruled out: errors of engines (none was asked), a clock ahead of the submitter's (the age is 0.01 s).

Now a submission names the version of the configuration that admitted it. A missing route is a removed one only where the configuration is recent enough. An owner that comes late leaves the batch to a peer that runs it, and asks the store for its end first, as at any take-over.

The same cause decided with which service, attempts and time to live the items ran where the route was known in an older form.

--- a/apps/gateway/src/shallotstand/gateway/ownership.py
+++ b/apps/gateway/src/shallotstand/gateway/ownership.py
@@ -40,7 +40,8 @@
         """Returns whether this process should run the batch now."""
         owner = batch.submission.owner
         if owner == self._process_id:
-            return True
+            # A peer takes the batch over if this process does not begin it.
+            return not self._mesh.is_batch_claimed(batch.id)
         if not self._should_take_over(batch.id, owner):
             return False
         logs.event(
--- a/apps/gateway/tests/test_ownership.py
+++ b/apps/gateway/tests/test_ownership.py
@@ -58,6 +58,15 @@
     assert case.should_run(OWN_PROCESS_ID)
 
 
+def test_own_batch_that_a_peer_runs_is_left_to_it(case):
+    # Guards against work done twice after a peer took over a batch that its
+    # owner could not begin for a while.
+    case.mesh.running.add("batch")
+    assert not case.should_run(OWN_PROCESS_ID)
+    case.mesh.running.clear()
+    assert case.should_run(OWN_PROCESS_ID)
+
+
 def test_batch_of_an_earlier_process_of_the_instance_is_run(case):
     assert case.should_run("node-1.a")
 
--- a/apps/standins/src/shallotstand/standins/fleet_engine.py
+++ b/apps/standins/src/shallotstand/standins/fleet_engine.py
@@ -34,6 +34,7 @@
       crashing_body: Content of the requests that make it crash; none if empty.
       arrivals_of_crashing: Monotonic times in seconds at which it began to run
         such requests.
+      event_count: Number of events in each text.
       events_until_break: Events after which it breaks a stream off; 0 if it
         never does.
       started_ms: Time of its last start in Unix milliseconds.
@@ -73,7 +74,7 @@
         self.started_ms = 1_700_000_000_000
         self.address = ""
         self.on_start: Callable[[], Awaitable[None]] | None = None
-        self._event_count = event_count
+        self.event_count = event_count
         self._pause_s = pause_s
         self._runner: web.AppRunner | None = None
         self._site: web.TCPSite | None = None
@@ -85,6 +86,7 @@
         app.router.add_get("/shallotstand/report", self._handle_report)
         app.router.add_post("/shallotstand/order", self._handle_order)
         app.router.add_post("/rollouts/{tail:.*}", self._handle_stream)
+        app.router.add_post("/rollouts-{name}/{tail:.*}", self._handle_stream)
         app.router.add_post("/events/{tail:.*}", self._handle_stream)
         app.router.add_route("*", "/{tail:.*}", self._handle_plain)
         self._runner = web.AppRunner(
@@ -145,7 +147,7 @@
     def item_text(self, item_id: str) -> str:
         """Returns the complete text that is generated for an item."""
         return "\n".join(
-            f"{item_id} {number}" for number in range(1, self._event_count + 1)
+            f"{item_id} {number}" for number in range(1, self.event_count + 1)
         )
 
     async def _handle_plain(self, request: web.Request) -> web.Response:
@@ -177,7 +179,7 @@
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", 0)) + 1
         announced_version = self.version
-        for number in range(first, self._event_count + 1):
+        for number in range(first, self.event_count + 1):
             if number - first == self.events_until_break > 0:
                 request.transport.abort()
                 return response
--- a/libs/batches/src/shallotstand/batches/item_run.py
+++ b/libs/batches/src/shallotstand/batches/item_run.py
@@ -70,7 +70,8 @@
       client: Sends requests to endpoints.
       scoring_dispatcher: Sends scoring requests.
       size_estimate: Estimates how many events an item still needs.
-      configuration: Returns the current configuration.
+      configuration: Returns the current configuration; None until the first
+        arrives.
       clock: Source of time.
     """
 
@@ -79,7 +80,7 @@
     client: EndpointClient
     scoring_dispatcher: UnaryDispatcher
     size_estimate: SizeEstimate
-    configuration: Callable[[], Configuration]
+    configuration: Callable[[], Configuration | None]
     clock: Clock
 
 
--- a/libs/batches/src/shallotstand/batches/records.py
+++ b/libs/batches/src/shallotstand/batches/records.py
@@ -67,6 +67,8 @@
       submitted_at: Unix time in seconds at which it was accepted.
       owner: Process that is to run it unless another takes it over.
       items: Its items, in the caller's order.
+      config_version: Version of the configuration under which it was accepted;
+        0 if a release accepted it that did not keep the version.
     """
 
     id: str
@@ -78,6 +80,7 @@
     submitted_at: float
     owner: str
     items: tuple[Item, ...]
+    config_version: int = 0
 
 
 class ResultState(enum.Enum):
--- a/libs/batches/src/shallotstand/batches/runner.py
+++ b/libs/batches/src/shallotstand/batches/runner.py
@@ -87,6 +87,8 @@
         self._load = load
         self._progress_cache = ProgressCache()
         self._tasks_by_batch: dict[str, asyncio.Task] = {}
+        # Batches that have waited here for a newer configuration.
+        self._delayed_ids: set[str] = set()
         self._abandoned_since: dict[str, float] = {}
         self._is_running = False
         batch_registry.subscribe(self._review)
@@ -170,9 +172,13 @@
         if not batch.is_open:
             if task is not None and batch.is_ended:
                 task.cancel()
+            self._delayed_ids.discard(batch.id)
             return
         if task is not None or not self._is_running:
             return
+        if self._has_older_configuration(batch):
+            self._record_delay(batch)
+            return
         if not self._ownership.should_run(batch):
             return
         logs.event(
@@ -189,6 +195,31 @@
         self._tasks_by_batch[batch.id] = task
         task.add_done_callback(lambda done: self._handle_run_end(batch, done))
 
+    def _has_older_configuration(self, batch: Batch) -> bool:
+        """Returns whether a peer accepted a batch under a newer configuration.
+
+        Its route, the services behind it and its limits are not known then.
+        """
+        configuration = self._dependencies.configuration()
+        return (
+            configuration is None
+            or configuration.version < batch.submission.config_version
+        )
+
+    def _record_delay(self, batch: Batch) -> None:
+        if batch.id in self._delayed_ids:
+            return
+        self._delayed_ids.add(batch.id)
+        configuration = self._dependencies.configuration()
+        logs.event(
+            logging.INFO,
+            "Batch waits for a newer configuration",
+            batch=batch.id,
+            owner=batch.submission.owner,
+            accepted_under=batch.submission.config_version,
+            config_version=configuration.version if configuration else 0,
+        )
+
     def _handle_run_end(self, batch: Batch, task: asyncio.Task) -> None:
         del self._tasks_by_batch[batch.id]
         error = None if task.cancelled() else task.exception()
@@ -203,8 +234,12 @@
         )
 
     async def _run_batch(self, batch: Batch) -> None:
-        if batch.submission.owner != self._process_id:
-            # The end of the batch may not have reached this process yet.
+        if (
+            batch.submission.owner != self._process_id
+            or batch.id in self._delayed_ids
+        ):
+            # The batch may have run elsewhere, and its end may not have reached
+            # this process yet.
             await self._refresh_batch(batch)
             await self._load_progress(batch)
         finished: asyncio.Queue[Result] = asyncio.Queue()
--- a/libs/batches/tests/conftest.py
+++ b/libs/batches/tests/conftest.py
@@ -91,7 +91,10 @@
         self.endpoint_registry = EndpointRegistry("zone-a", clock)
         self.batch_registry = BatchRegistry()
         self.log = BatchLog(self.store, self.batch_registry, clock)
-        self.rollouts_route = route("rollouts", RouteKind.BATCH, "engines")
+        self.rollouts_route: Route | None = route(
+            "rollouts", RouteKind.BATCH, "engines"
+        )
+        self.config_version = 1
         scoring_dispatcher = UnaryDispatcher(
             self.endpoint_registry, self.engines, clock, random.Random(1)
         )
@@ -106,13 +109,13 @@
         )
 
     def configuration(self) -> Configuration:
+        routes = [route("scores", RouteKind.IDEMPOTENT, "plain")]
+        if self.rollouts_route is not None:
+            routes.append(self.rollouts_route)
         return Configuration.from_parts(
-            1,
+            self.config_version,
             Limits(16384, 1 << 20, 3.0, 15.0),
-            [
-                self.rollouts_route,
-                route("scores", RouteKind.IDEMPOTENT, "plain"),
-            ],
+            routes,
             [ClientAccount("account", frozenset({"key"}), None)],
         )
 
--- a/libs/batches/tests/test_runner.py
+++ b/libs/batches/tests/test_runner.py
@@ -17,7 +17,11 @@
     entry_name,
 )
 from shallotstand.batches.registry import BatchRegistry
-from shallotstand.batches.runner import UNCLAIMED_TIMEOUT_S, BatchRunner
+from shallotstand.batches.runner import (
+    REVIEW_INTERVAL_S,
+    UNCLAIMED_TIMEOUT_S,
+    BatchRunner,
+)
 from shallotstand.core.codes import ResultCode
 from shallotstand.documents.protocols import Change
 from shallotstand.standins.memory_engines import (
@@ -92,6 +96,60 @@
     run(environment, scenario)
 
 
+def test_batch_waits_for_the_configuration_that_admitted_it(environment):
+    # Guards against a process that lists the items of a batch as lost, since
+    # its configuration is older than the one under which a peer accepted it.
+    async def scenario(runner):
+        route, environment.rollouts_route = environment.rollouts_route, None
+        batch = submission("batch", item("a"), config_version=2)
+        known = await environment.log.add_submission(
+            batch, make_deadline(environment)
+        )
+        await asyncio.sleep(3 * REVIEW_INTERVAL_S)
+        assert known.results == []
+        assert runner.claimed_batch_ids() == ()
+        environment.config_version = 2
+        environment.rollouts_route = route
+        await until(lambda: known.is_complete)
+        assert [r.state for r in known.results] == [ResultState.COMPLETED]
+
+    run(environment, scenario)
+
+
+def test_batch_that_waited_is_checked_for_its_end_first(environment):
+    # Guards against running items of a batch that a peer has taken over and
+    # that has ended while its owner waited.
+    async def scenario(runner):
+        batch = submission("batch", item("a"), config_version=2)
+        known = await environment.log.add_submission(
+            batch, make_deadline(environment)
+        )
+        await environment.store.create(
+            BATCH_LOG_KIND, entry_name("batch", END_SUFFIX), {"ended_at": 0}
+        )
+        environment.config_version = 2
+        await until(lambda: known.is_ended)
+        await until(lambda: not runner.is_running_batch("batch"))
+        assert environment.engines.sent == []
+
+    run(environment, scenario)
+
+
+def test_items_of_a_removed_route_are_lost(environment):
+    # Guards against batches that stay open until they expire.
+    async def scenario(_):
+        environment.rollouts_route = None
+        environment.config_version = 3
+        batch = submission("batch", item("a"), config_version=2)
+        known = await environment.log.add_submission(
+            batch, make_deadline(environment)
+        )
+        await until(lambda: known.is_complete)
+        assert [r.state for r in known.results] == [ResultState.LOST]
+
+    run(environment, scenario)
+
+
 def test_end_stops_the_items(environment):
     async def scenario(runner):
         environment.engines.stream = lambda _: MemoryStream([5.0], 1)
--- a/libs/dispatch/src/shallotstand/dispatch/request_handler.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_handler.py
@@ -31,13 +31,17 @@
 class AdmittedRequest(NamedTuple):
     """The route and client account of an admitted request.
 
+    They hold in one version of the configuration.
+
     Attributes:
       route: Its route.
       account: Client account on whose behalf it runs; None if there is none.
+      config_version: Version of the configuration that admitted it.
     """
 
     route: Route
     account: ClientAccount | None
+    config_version: int
 
     @property
     def account_name(self) -> str | None:
@@ -223,7 +227,7 @@
         account = self.configuration.authenticate(route, request.key)
         if isinstance(account, Failure):
             return self._refuse(request, account)
-        return AdmittedRequest(route, account)
+        return AdmittedRequest(route, account, self.configuration.version)
 
     def _refuse(self, request: CallerRequest, failure: Failure) -> Failure:
         logs.event(
