Tell callers to come back where the configuration may be out of date

A path related to the batches that were lost under an older configuration: a gateway that the store does not answer refuses new routes with 404 and new keys with 401. Callers don't repeat a request after either. The same holds for reads of a batch whose host or key is new.

Such refusals are now 503 (code 1014, not run) while the watch of the configuration fails, or has confirmed nothing for 2 s, which is the time within which a configuration is in force everywhere. Requests that the known configuration allows are served as before.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -54,6 +54,9 @@
 # Gateways register only when they start. A stale registry only delays the
 # connection to a peer, and each peer also connects on its own.
 REGISTRY_WATCH_TIMEOUT_S = 10.0
+# A new configuration is in force everywhere within this time. One that the
+# store has not confirmed for longer may be out of date.
+CONFIGURATION_MAX_AGE_S = 2.0
 # A process whose calls to the store fail for this long reports itself as not
 # ready.
 STORE_FAILURE_TIMEOUT_S = 2.0
@@ -116,6 +119,9 @@
         self._serving.crash_record.is_registry_current = lambda: (
             self._endpoint_watcher.failing_since is None
         )
+        self._serving.request_handler.is_configuration_current = (
+            self._is_configuration_current
+        )
         self._batch_watcher = self._make_watcher(
             BATCH_LOG_KIND,
             self._batch_subsystem.batch_registry.receive_change,
@@ -234,6 +240,13 @@
             return False
         return all(watcher.is_synced for watcher in self._watchers)
 
+    def _is_configuration_current(self) -> bool:
+        watcher = self._config_watcher
+        age_s = self._clock.monotonic() - watcher.confirmed_at
+        return watcher.failing_since is None and (
+            age_s <= CONFIGURATION_MAX_AGE_S
+        )
+
     def _make_presence(self) -> Presence:
         states_by_id = self._serving.endpoint_registry.local_states_by_id()
         return Presence(
--- a/libs/dispatch/src/shallotstand/dispatch/request_handler.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_handler.py
@@ -1,5 +1,6 @@
 """Admits callers' requests and dispatches them to endpoints."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from absl import logging
@@ -54,6 +55,8 @@
 
     Attributes:
       configuration: The active configuration; None until the first arrives.
+      is_configuration_current: Returns whether the store has lately confirmed
+        that there is no newer configuration.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
         self._clock = clock
         self._stops_at = float("inf")
         self.configuration: Configuration | None = None
+        self.is_configuration_current: Callable[[], bool] = lambda: True
 
     def begin_stop(self, stops_at: float) -> None:
         """Refuses requests from now on that would outlast the process.
@@ -103,7 +107,8 @@
         """Determines the route and the client account of a request.
 
         Errors:
-          CONFIG_UNCONFIRMED: No configuration has been received yet.
+          CONFIG_UNCONFIRMED: No configuration has been received yet, or the
+            store does not confirm the one that refuses the request.
           ROUTE_UNKNOWN: No route matches the request.
           KEY_MISSING, KEY_UNKNOWN: The request carries no valid API key.
         """
@@ -114,7 +119,7 @@
             )
         route = self.configuration.match_route(request.host, request.path)
         if isinstance(route, Failure):
-            return self._refuse(request, route)
+            return self._refuse_for_good(request, route)
         return self._authenticate(request, route)
 
     def admit_batch_request(
@@ -132,7 +137,7 @@
             )
         route = self.configuration.batch_route(request.host)
         if isinstance(route, Failure):
-            return self._refuse(request, route)
+            return self._refuse_for_good(request, route)
         return self._authenticate(request, route)
 
     async def serve(
@@ -226,9 +231,25 @@
     ) -> AdmittedRequest | Failure:
         account = self.configuration.authenticate(route, request.key)
         if isinstance(account, Failure):
-            return self._refuse(request, account)
+            return self._refuse_for_good(request, account)
         return AdmittedRequest(route, account, self.configuration.version)
 
+    def _refuse_for_good(
+        self, request: CallerRequest, failure: Failure
+    ) -> Failure:
+        """Refuses a request that the configuration does not allow.
+
+        A newer configuration may allow it, and the caller does not come back
+        after such a refusal. So it is told to come back if this configuration
+        may be out of date.
+        """
+        if not self.is_configuration_current():
+            failure = Failure(
+                ResultCode.CONFIG_UNCONFIRMED,
+                f"The configuration may be out of date. {failure.reason}",
+            )
+        return self._refuse(request, failure)
+
     def _refuse(self, request: CallerRequest, failure: Failure) -> Failure:
         logs.event(
             logging.INFO,
--- a/tests/test_stale_configuration.py
+++ b/tests/test_stale_configuration.py
@@ -38,10 +38,12 @@
     return tmp_path
 
 
-def run_scenario(directory, scenario):
+def run_scenario(directory, scenario, gateways=2):
     async def run_with_fleet():
         more_engines = tuple(FleetEngine(name) for name in ("e3", "e4"))
-        async with Fleet(directory, more_engines=more_engines) as fleet:
+        async with Fleet(
+            directory, gateways, more_engines=more_engines
+        ) as fleet:
             for engine in (*fleet.engines, *more_engines):
                 engine.event_count = EVENTS
             proxies = await restart_behind_proxies(fleet)
@@ -82,8 +84,8 @@
 
 
 def with_later_route():
-    """Returns a newer configuration that has one more route."""
-    newer = configuration(2)
+    """Returns a newer configuration that has one more route and key."""
+    newer = configuration(2, ("key-1", "key-2"))
     rollouts = newer["routes"][0]
     later = {**rollouts, "name": "later", "path_prefix": LATER_PREFIX}
     return {**newer, "routes": [*newer["routes"], later]}
@@ -145,3 +147,32 @@
         assert states == ["completed"] * LATER_ITEMS
 
     run_scenario(directory, scenario)
+
+
+def test_gateway_out_of_date_refuses_nothing_for_good(directory):
+    # Guards against callers that give up a new route or key, since a gateway
+    # that has not heard of it says that it does not exist.
+    async def scenario(fleet, proxies):
+        (gateway,) = fleet.gateways
+        proxies[gateway.node].set_mode(Mode.SILENT)
+        await fleet.platform.put("config", "main", with_later_route())
+        await asyncio.sleep(IN_FORCE_WITHIN_S)
+
+        async def status_of(path, key="key-1", method="POST"):
+            status, _ = await fleet.call(gateway, method, path, key=key)
+            return status
+
+        assert await status_of("/plain/a") == 200
+        assert await status_of("/plain/a", key="key-2") == 503
+        assert await status_of(LATER_PREFIX) == 503
+        assert await status_of(results_path("b", 0), "key-2", "GET") == 503
+        proxies[gateway.node].set_mode(Mode.CUT)
+        proxies[gateway.node].set_mode(Mode.PASS)
+        await fleet.wait_until(
+            lambda: "Regained the store" in gateway.log_path.read_text("utf-8")
+        )
+        assert await status_of("/plain/a", key="key-2") == 200
+        assert await status_of("/plain/a", key="key-3") == 401
+        assert await status_of("/unknown/") == 404
+
+    run_scenario(directory, scenario, gateways=1)
