Move the middleware that sends a request once to a library of its own

The adapter of the fleet platform, which may not be imported from there, was written without it. The middleware and its error move to shallotstand.outbound unchanged, so that all clients can use one copy. No change of behaviour; libs/engine passes.

--- a/libs/engine/src/shallotstand/engine/http.py
+++ b/libs/engine/src/shallotstand/engine/http.py
@@ -14,6 +14,7 @@
     EngineOrder,
     EngineRequest,
 )
+from shallotstand.outbound.single_send import send_once
 
 _CONNECT_TIMEOUT_S = 1.0
 _LOAD_TIMEOUT_S = 2.0
@@ -21,29 +22,6 @@
 _MAX_CONNECTIONS = 1024
 
 
-class _DroppedError(aiohttp.ClientConnectionError):
-    """The connection was lost after the request may have been read."""
-
-
-async def _send_once(
-    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
-) -> aiohttp.ClientResponse:
-    """Keeps aiohttp from sending a request again by itself.
-
-    aiohttp repeats a GET whose connection was dropped, even after the
-    endpoint has read it, if it sees one of the errors that are replaced here.
-
-    Raises:
-      _DroppedError: The connection was lost before the answer's head.
-    """
-    try:
-        return await handler(request)
-    except aiohttp.ClientConnectorError:
-        raise
-    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
-        raise _DroppedError(str(error)) from error
-
-
 class HttpAnswer:
     """An answer that arrives over HTTP."""
 
@@ -80,7 +58,7 @@
             self._session = aiohttp.ClientSession(
                 connector=aiohttp.TCPConnector(limit=_MAX_CONNECTIONS),
                 auto_decompress=False,
-                middlewares=(_send_once,),
+                middlewares=(send_once,),
             )
         return self._session
 
--- /dev/null
+++ b/libs/outbound/src/shallotstand/outbound/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that HTTP clients of engines, stores and other systems share."""
