--- a/apps/standins/src/shallotstand/standins/fleet_engine.py
+++ b/apps/standins/src/shallotstand/standins/fleet_engine.py
@@ -35,6 +35,8 @@
       arrivals_of_crashing: Monotonic times in seconds at which it began to run
         such requests.
       event_count: Number of events in each text.
+      loses_answers: Whether it breaks connections off instead of answering
+        plain requests that it has run.
       events_until_break: Events after which it breaks a stream off; 0 if it
         never does.
       started_ms: Time of its last start in Unix milliseconds.
@@ -70,6 +72,7 @@
         self.software_version = software_version
         self.crashing_body = b""
         self.arrivals_of_crashing: list[float] = []
+        self.loses_answers = False
         self.events_until_break = 0
         self.started_ms = 1_700_000_000_000
         self.address = ""
@@ -156,6 +159,9 @@
         self.started_requests.append(request_id)
         await self._crash_if_told(request)
         await asyncio.sleep(self._pause_s)
+        if self.loses_answers:
+            request.transport.abort()
+            return web.Response()
         headers = {
             **limit_headers,
             _ATTEMPT_ID_HEADER: request_id,
