--- a/apps/cli/src/shallotstand/cli/client.py
+++ b/apps/cli/src/shallotstand/cli/client.py
@@ -8,6 +8,7 @@
 import orjson
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import ErrorDetail, Failure
+from shallotstand.outbound.single_send import send_once
 
 _CONNECT_TIMEOUT_S = 3.0
 # The server waits up to 12 s for entries after a slow store.
@@ -59,7 +60,9 @@
     )
     try:
         async with (
-            aiohttp.ClientSession(timeout=timeout) as session,
+            aiohttp.ClientSession(
+                timeout=timeout, middlewares=(send_once,)
+            ) as session,
             session.request(
                 method,
                 f"{url.rstrip('/')}/admin/{path}",
