Refuse bodies over the operator's limit

The limit of the configuration, `max_body_bytes`, is now in force on connections that are opened after it has changed: 413 (code 1007).

Tests: two in tests/adapter/test_http_frontend.py; without the limit the first one fails and the second one does not end within its minute.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -287,6 +287,7 @@
             )
             return
         self._serving.request_handler.update_configuration(configuration)
+        self._frontend.limit_bodies(configuration.limits.max_body_bytes)
 
     def _receive_endpoint_change(self, change: Change) -> None:
         receive_endpoint_change(
--- a/tests/adapter/test_http_frontend.py
+++ b/tests/adapter/test_http_frontend.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP front end over real connections."""
 
 import asyncio
+import contextlib
 import random
 
 import aiohttp
@@ -459,3 +460,44 @@
         harness.url + path, headers={"Host": "host.example", **KEY_HEADERS}
     ) as response:
         return response.status, await response.read()
+
+
+async def open_request(harness, header):
+    """Sends the head of a request on a connection of its own."""
+    reader, writer = await asyncio.open_connection(
+        harness.address.host, harness.address.port
+    )
+    head = f"POST /safe/a HTTP/1.1\r\nHost: host.example\r\n{header}\r\n\r\n"
+    writer.write(head.encode())
+    return reader, writer
+
+
+def test_body_over_the_operators_limit_is_refused():
+    # Guards against bodies that fill the memory of a gateway.
+    async def scenario(harness):
+        harness.frontend.limit_bodies(1 << 20)
+        header = f"Content-Length: {(1 << 20) + 1}"
+        reader, writer = await open_request(harness, header)
+        assert (await reader.readline()).split()[1] == b"413"
+        writer.close()
+        _, body = await post(harness, "/safe/a", body=b"a" * (1 << 19))
+        assert body
+
+    run_scenario(scenario)
+
+
+def test_body_without_end_is_given_up():
+    async def scenario(harness):
+        harness.frontend.limit_bodies(1 << 20)
+        _, writer = await open_request(harness, "Transfer-Encoding: chunked")
+        sent_bytes = 0
+        with contextlib.suppress(ConnectionError):
+            while sent_bytes < 64 << 20:
+                writer.write(b"10000\r\n" + b"a" * 65536 + b"\r\n")
+                await writer.drain()
+                sent_bytes += 65536
+        writer.close()
+        # The kernel's buffers hold some more than the limit.
+        assert sent_bytes < 24 << 20
+
+    run_scenario(scenario)
