Stand-ins: fleets whose links to the store and between gateways can fail

The proxy moves from the soak to the stand-ins, so that tests and the soak share it. A fleet may start behind proxies, which also stand between gateways: the platform stand-in registers a proxy's port instead of the gateway's. No gateway could be cut off from its peers so far. No change of the product.

--- a/apps/standins/src/shallotstand/standins/fleet.py
+++ b/apps/standins/src/shallotstand/standins/fleet.py
@@ -13,6 +13,7 @@
 from shallotstand.standins.fleet_engine import FleetEngine
 from shallotstand.standins.fleet_platform import FleetPlatform
 from shallotstand.standins.processes import free_address
+from shallotstand.standins.proxy import Proxy
 
 HOST = "fleet.example"
 WINDOW_S = 2
@@ -40,7 +41,16 @@
 
 
 class Machine:
-    """A machine and the gateway or keeper process that runs on it."""
+    """A machine and the gateway or keeper process that runs on it.
+
+    Attributes:
+      node: Its name.
+      role: The program that runs on it: `gateway` or `keeper`.
+      store_proxy: What its process connects to instead of the platform; None
+        if it connects directly.
+      peer_proxy: What other gateways connect to instead of this one; None if
+        they connect directly.
+    """
 
     def __init__(self, node: str, role: str, directory: pathlib.Path):
         self.node = node
@@ -49,6 +59,8 @@
         self.ready_address = free_address()
         self.peer_address = free_address()
         self._directory = directory
+        self.store_proxy: Proxy | None = None
+        self.peer_proxy: Proxy | None = None
         self.process: asyncio.subprocess.Process | None = None
 
     async def start(
@@ -60,6 +72,8 @@
           platform_address: Address of the platform.
           waits_until_ready: Whether to wait until a gateway is ready.
         """
+        if self.store_proxy is not None:
+            platform_address = self.store_proxy.address
         listen = ""
         if self.role == "gateway":
             listen = (
@@ -122,6 +136,7 @@
         gateways: int = 2,
         checks_fences: bool = True,
         more_engines: tuple[FleetEngine, ...] = (),
+        has_proxies: bool = False,
     ):
         """Creates a deployment.
 
@@ -131,7 +146,11 @@
           checks_fences: Whether the platform and the engines refuse calls with
             outdated fencing tokens.
           more_engines: Engines beside the usual ones.
+          has_proxies: Whether processes connect to the platform, and gateways
+            to each other, through proxies. Of two gateways, the one with the
+            smaller name opens the connection.
         """
+        self._has_proxies = has_proxies
         self.more_engines = more_engines
         self.platform = FleetPlatform(checks_fences)
         self.engines = [
@@ -168,6 +187,8 @@
             await engine.start()
             engine.on_start = functools.partial(self.register, engine)
             await self.register(engine)
+        if self._has_proxies:
+            await self._start_proxies()
         await asyncio.gather(
             *(
                 machine.start(self.address)
@@ -175,12 +196,26 @@
             )
         )
 
+    async def _start_proxies(self) -> None:
+        for machine in (*self.gateways, *self.keepers):
+            machine.store_proxy = Proxy(self.address)
+            await machine.store_proxy.start()
+        for gateway in self.gateways:
+            gateway.peer_proxy = Proxy(str(gateway.peer_address))
+            await gateway.peer_proxy.start()
+            port = int(gateway.peer_proxy.address.rpartition(":")[2])
+            self.platform.peer_port_by_gateway[gateway.node] = port
+
     async def _stop(self) -> None:
         """Ends all processes, also those of a start that has failed."""
         await self.session.close()
         for machine in (*self.gateways, *self.keepers):
             if machine.process and machine.process.returncode is None:
                 await machine.stop(signal.SIGKILL)
+        for machine in (*self.gateways, *self.keepers):
+            for proxy in (machine.store_proxy, machine.peer_proxy):
+                if proxy is not None:
+                    proxy.stop()
         for engine in self._all_engines():
             await engine.stop()
         await self.platform.stop()
--- a/apps/standins/src/shallotstand/standins/fleet_platform.py
+++ b/apps/standins/src/shallotstand/standins/fleet_platform.py
@@ -27,6 +27,8 @@
       reports: Usage reports in the order of their receipt: window, counts,
         holder, fencing token.
       duty_calls: All usage reports that arrived, also refused ones.
+      peer_port_by_gateway: Ports at which gateways are registered instead of
+        their own, such as those of proxies.
     """
 
     def __init__(self, checks_fences: bool = True) -> None:
@@ -38,6 +40,7 @@
         self.documents = MemoryDocuments()
         self.reports: list[tuple[int, dict[str, int], str, int]] = []
         self.duty_calls = DutyCallLog(checks_fences)
+        self.peer_port_by_gateway: dict[str, int] = {}
         self._runner: web.AppRunner | None = None
 
     async def start(self) -> str:
@@ -114,28 +117,29 @@
 
     async def _create(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
+        kind, name = request.match_info["kind"], body["metadata"]["name"]
+        spec = self._with_peer_port(kind, name, body["spec"])
         return _document_response(
-            request,
-            await self.documents.create(
-                request.match_info["kind"],
-                body["metadata"]["name"],
-                body["spec"],
-            ),
+            request, await self.documents.create(kind, name, spec)
         )
 
     async def _replace(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
-        parameters = request.match_info
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        spec = self._with_peer_port(kind, name, body["spec"])
         return _document_response(
             request,
             await self.documents.replace(
-                parameters["kind"],
-                parameters["name"],
-                body["spec"],
-                body["metadata"]["revision"],
+                kind, name, spec, body["metadata"]["revision"]
             ),
         )
 
+    def _with_peer_port(self, kind: str, name: str, spec: Any) -> Any:
+        """Returns the content of an object as it is to be stored."""
+        if kind != "gateways" or name not in self.peer_port_by_gateway:
+            return spec
+        return {**spec, "port": self.peer_port_by_gateway[name]}
+
     async def _set_status(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
         parameters = request.match_info
--- a/soak/proxy.py
+++ b/apps/standins/src/shallotstand/standins/proxy.py
@@ -18,11 +18,11 @@
 
 
 class Proxy:
-    """Forwards the connections of one process to the platform.
+    """Forwards connections to one address.
 
     Attributes:
       mode: What is done with bytes received from now on.
-      address: Address that the process connects to.
+      address: Address to connect to instead.
     """
 
     def __init__(self, target: str, delay_s: float = 0.2):
@@ -47,6 +47,11 @@
         self._server.close()
         self.set_mode(Mode.CUT)
 
+    def heal(self) -> None:
+        """Passes bytes again; connections that may have lost some are reset."""
+        self.set_mode(Mode.CUT)
+        self.set_mode(Mode.PASS)
+
     def set_mode(self, mode: Mode) -> None:
         """Changes the mode; `CUT` also resets the open connections."""
         self.mode = mode
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,10 +8,10 @@
 from typing import NamedTuple
 
 from shallotstand.standins.fleet import Fleet, Machine
+from shallotstand.standins.proxy import Mode, Proxy
 
 from soak.checks import find_violations
 from soak.load import LoadGenerator
-from soak.proxy import Mode, Proxy
 from soak.schedule import Fault, FaultEvent, draw_faults
 from soak.streams import ENGINES_PER_VERSION, make_writers
 
@@ -179,8 +179,7 @@
         proxy = self._proxies[event.target]
         proxy.set_mode(_MODE_BY_FAULT[event.fault])
         await asyncio.sleep(event.duration_s)
-        proxy.set_mode(Mode.CUT)
-        proxy.set_mode(Mode.PASS)
+        proxy.heal()
         self._record_resumption(event.target)
 
     def _record_resumption(self, target: int) -> None:
--- a/tests/test_request_limits.py
+++ b/tests/test_request_limits.py
@@ -19,10 +19,9 @@
     batch_submission,
     results_path,
 )
+from shallotstand.standins.proxy import Mode, Proxy
 from shallotstand.standins.request_limit import CONTACT_S
 
-from soak.proxy import Mode, Proxy
-
 GATEWAYS = 3
 # Plain requests a second at each gateway; far more than the limits below.
 CALLS_PER_S = 12.0
--- a/tests/test_stale_configuration.py
+++ b/tests/test_stale_configuration.py
@@ -15,8 +15,7 @@
     results_path,
 )
 from shallotstand.standins.fleet_engine import FleetEngine
-
-from soak.proxy import Mode, Proxy
+from shallotstand.standins.proxy import Mode
 
 SILENCE_S = 5.0
 # Time within which an accepted configuration is in force at gateways that
@@ -42,32 +41,15 @@
     async def run_with_fleet():
         more_engines = tuple(FleetEngine(name) for name in ("e3", "e4"))
         async with Fleet(
-            directory, gateways, more_engines=more_engines
+            directory, gateways, more_engines=more_engines, has_proxies=True
         ) as fleet:
             for engine in (*fleet.engines, *more_engines):
                 engine.event_count = EVENTS
-            proxies = await restart_behind_proxies(fleet)
-            try:
-                await asyncio.wait_for(scenario(fleet, proxies), 50)
-            finally:
-                for proxy in proxies.values():
-                    proxy.stop()
+            await asyncio.wait_for(scenario(fleet), 50)
 
     asyncio.run(run_with_fleet())
 
 
-async def restart_behind_proxies(fleet):
-    """Restarts the gateways, each behind a proxy of the store."""
-    proxies = {}
-    for gateway in fleet.gateways:
-        proxy = proxies[gateway.node] = Proxy(fleet.address)
-        await proxy.start()
-        gateway.process.kill()
-        await gateway.process.wait()
-        await gateway.start(proxy.address)
-    return proxies
-
-
 def watches_for_peers(gateway):
     text = gateway.log_path.read_text("utf-8")
     return text.rfind("Watches the store for its peers") > text.rfind(
@@ -116,10 +98,10 @@
 def test_batch_is_not_lost_at_a_gateway_without_its_route(directory):
     # Guards against a gateway that lists all items of a batch as lost, since
     # it has not heard of the route under which a peer has accepted the batch.
-    async def scenario(fleet, proxies):
+    async def scenario(fleet):
         await asyncio.sleep(2.0)
         stale, current = await split_by_watcher(fleet)
-        proxies[stale.node].set_mode(Mode.SILENT)
+        stale.store_proxy.set_mode(Mode.SILENT)
         await fleet.platform.put("config", "main", with_later_route())
         await asyncio.sleep(IN_FORCE_WITHIN_S)
         earlier = batch_submission(EARLIER_ITEMS, id_prefix="earlier-")
@@ -139,8 +121,7 @@
         assert status == 202
         await fleet.call(current, "DELETE", "/shallotstand/lots/earlier")
         await asyncio.sleep(SILENCE_S - IN_FORCE_WITHIN_S)
-        proxies[stale.node].set_mode(Mode.CUT)
-        proxies[stale.node].set_mode(Mode.PASS)
+        stale.store_proxy.heal()
         states = await read_states(fleet, current, "later", LATER_ITEMS)
         # The batch has been handed over, or nothing was tried.
         assert "Batch handed over" in current.log_path.read_text("utf-8")
@@ -152,9 +133,9 @@
 def test_gateway_out_of_date_refuses_nothing_for_good(directory):
     # Guards against callers that give up a new route or key, since a gateway
     # that has not heard of it says that it does not exist.
-    async def scenario(fleet, proxies):
+    async def scenario(fleet):
         (gateway,) = fleet.gateways
-        proxies[gateway.node].set_mode(Mode.SILENT)
+        gateway.store_proxy.set_mode(Mode.SILENT)
         await fleet.platform.put("config", "main", with_later_route())
         await asyncio.sleep(IN_FORCE_WITHIN_S)
 
@@ -166,8 +147,7 @@
         assert await status_of("/plain/a", key="key-2") == 503
         assert await status_of(LATER_PREFIX) == 503
         assert await status_of(results_path("b", 0), "key-2", "GET") == 503
-        proxies[gateway.node].set_mode(Mode.CUT)
-        proxies[gateway.node].set_mode(Mode.PASS)
+        gateway.store_proxy.heal()
         await fleet.wait_until(
             lambda: "Regained the store" in gateway.log_path.read_text("utf-8")
         )
