Work a stream's version out from a plan that the store has confirmed lately

Looked for after the report of streams joined at a machine out of step. A gateway that stood still, or was cut off from the store, for longer than the window of recorded streams (200 s) knows an old plan until its next refresh, up to 3 s after it is back. A stream that began under later plans alone has no record; its version was worked out from the old plan, so it went on at the software that the plan had before.

Test: libs/peers/tests/test_stream_origins.py, test_process_that_was_away_knows_streams_of_a_later_plan, failed before (`old` instead of `new`) and passes.

--- a/libs/peers/src/shallotstand/peers/stream_origins.py
+++ b/libs/peers/src/shallotstand/peers/stream_origins.py
@@ -125,7 +125,11 @@
         if stream_id in records:
             return records[stream_id]
         service = _service_of(route, stream_id)
-        plan = await self._plans.get(service, may_create=False)
+        # Periods that began while this process stood still, or was cut off from
+        # the store, are missing from the plan that it knows.
+        plan = await self._plans.get(
+            service, may_create=False, must_be_confirmed=True
+        )
         if isinstance(plan, Failure):
             return _unknown(plan.reason)
         return StreamOrigin(
--- a/libs/peers/src/shallotstand/peers/stream_plans.py
+++ b/libs/peers/src/shallotstand/peers/stream_plans.py
@@ -53,13 +53,17 @@
         self._read_lock = asyncio.Lock()
 
     async def get(
-        self, service: str, may_create: bool = True
+        self,
+        service: str,
+        may_create: bool = True,
+        must_be_confirmed: bool = False,
     ) -> StreamPlan | Failure:
         """Returns the plan of a service as last read.
 
         Args:
           service: The service.
           may_create: Whether to create the plan if there is none.
+          must_be_confirmed: Whether to read it again if that was too long ago.
 
         Errors:
           OBJECT_NOT_FOUND: There is no plan.
@@ -67,7 +71,9 @@
           STORE_UNAVAILABLE, OUTCOME_UNKNOWN: The store does not answer.
         """
         async with self._read_lock:
-            if service not in self._stored_by_service:
+            if service not in self._stored_by_service or (
+                must_be_confirmed and not self.is_confirmed(service)
+            ):
                 outcome = await self._read(service, may_create)
                 if isinstance(outcome, Failure):
                     return outcome
--- a/libs/peers/tests/test_stream_origins.py
+++ b/libs/peers/tests/test_stream_origins.py
@@ -3,12 +3,13 @@
 import asyncio
 
 import pytest
-from shallotstand.core.clock import SystemClock
+from shallotstand.core.clock import ManualClock, SystemClock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import Route, RouteKind, RouteTarget
 from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.stream_origins import StreamOrigin
+from shallotstand.dispatch.stream_plan import RECORD_WINDOW_S
 from shallotstand.peers import stream_origins
 from shallotstand.peers.origin_records import ORIGINS_KIND
 from shallotstand.peers.stream_origins import StoredStreamOrigins
@@ -36,8 +37,10 @@
 
 
 class Process:
-    def __init__(self, store, instance="g0", versions=("old", "new")):
-        clock = SystemClock()
+    def __init__(
+        self, store, instance="g0", versions=("old", "new"), clock=None
+    ):
+        clock = clock or SystemClock()
         self.registry = EndpointRegistry("zone-a", clock)
         self.set_versions(versions)
         self.origins = StoredStreamOrigins(
@@ -139,6 +142,27 @@
     run(scenario)
 
 
+def test_process_that_was_away_knows_streams_of_a_later_plan():
+    # Guards against a gateway that stood still, or was cut off from the store,
+    # and works a stream's version out from the plan that it knew before.
+    async def scenario(store):
+        clock = ManualClock()
+        process = Process(store, versions=("old",), clock=clock)
+        away = Process(store, "g1", versions=("old",), clock=clock)
+        await process.begin("first")
+        assert await away.find("first") == StreamOrigin("engines", "old")
+        process.set_versions(("new",))
+        await process.refresh(2)
+        clock.advance(RECORD_WINDOW_S + 1.0)
+        await process.refresh(1)
+        began = await begin_all(process)
+        assert set(began.values()) == {StreamOrigin("engines", "new")}
+        assert not store.call_counts["create", ORIGINS_KIND]
+        await check_all(away, began)
+
+    run(scenario)
+
+
 def test_streams_begin_by_the_plan_while_the_store_is_away(monkeypatch):
     # Guards against an outage of the store that stops all streams, and against
     # one during which streams begin that nobody could continue.
