Check which start of an endpoint gives a stream's events

Here: an engine that starts again under its id with other software, while a gateway stands still or is cut off from the store, gives events that the gateway takes for those of the old software.

Cause: the software version of an endpoint is known from the store's list alone; which start of the endpoint answers was never asked. The identifier, which engines check, is the same. Ruled out by the trials: engines that join under identifiers of their own, a cut from the peers, and the records and plans of streams, which are read from the store.

Once the head of a resumable stream has arrived, the endpoint is asked for the time of its start (its report names it), before an event is used. An endpoint that starts again breaks its connections off, so the report tells of the start that gives the stream. With another start the stream goes to another endpoint; the list is read from the store at once, past the peers, and the stream waits up to 0.5 s for the new entry. An endpoint that does not tell is believed while the store has confirmed the list within 2 s.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -43,6 +43,9 @@
 # time is short, since requests to an endpoint must stop within two seconds
 # after it is marked as leaving.
 ENDPOINT_WATCH_PAUSE_S = 0.1
+# Shortest time between two reads of the store because endpoints report other
+# starts than those of their entries.
+ENDPOINT_REFRESH_INTERVAL_S = 0.5
 # The load balancer needs two health checks, a second apart, to detect that the
 # process is stopping; new connections arrive until then.
 LOAD_BALANCER_DELAY_S = 3.0
@@ -54,9 +57,9 @@
 # Gateways register only when they start. A stale registry only delays the
 # connection to a peer, and each peer also connects on its own.
 REGISTRY_WATCH_TIMEOUT_S = 10.0
-# A new configuration is in force everywhere within this time. One that the
-# store has not confirmed for longer may be out of date.
-CONFIGURATION_MAX_AGE_S = 2.0
+# Changes of the configuration and of endpoints are known everywhere within this
+# time. What the store has not confirmed for longer may be out of date.
+MAX_CONFIRMED_AGE_S = 2.0
 # A process whose calls to the store fail for this long reports itself as not
 # ready.
 STORE_FAILURE_TIMEOUT_S = 2.0
@@ -119,9 +122,14 @@
         self._serving.crash_record.is_registry_current = lambda: (
             self._endpoint_watcher.failing_since is None
         )
-        self._serving.request_handler.is_configuration_current = (
-            self._is_configuration_current
+        self._serving.request_handler.is_configuration_current = lambda: (
+            self._is_confirmed(self._config_watcher)
         )
+        self._serving.start_check.is_list_current = lambda: self._is_confirmed(
+            self._endpoint_watcher
+        )
+        self._serving.start_check.on_outdated_list = self._refresh_endpoints
+        self._endpoints_refreshed_at = float("-inf")
         self._batch_watcher = self._make_watcher(
             BATCH_LOG_KIND,
             self._batch_subsystem.batch_registry.receive_change,
@@ -240,12 +248,20 @@
             return False
         return all(watcher.is_synced for watcher in self._watchers)
 
-    def _is_configuration_current(self) -> bool:
-        watcher = self._config_watcher
+    def _is_confirmed(self, watcher: DocumentWatcher) -> bool:
+        """Returns whether the store has lately confirmed what a watch told."""
         age_s = self._clock.monotonic() - watcher.confirmed_at
-        return watcher.failing_since is None and (
-            age_s <= CONFIGURATION_MAX_AGE_S
-        )
+        return watcher.failing_since is None and age_s <= MAX_CONFIRMED_AGE_S
+
+    def _refresh_endpoints(self) -> None:
+        """Asks the store for changes of endpoints that peers don't tell of."""
+        now = self._clock.monotonic()
+        if now - self._endpoints_refreshed_at < ENDPOINT_REFRESH_INTERVAL_S:
+            return
+        self._endpoints_refreshed_at = now
+        logs.event(logging.INFO, "Asks the store for the list of endpoints")
+        self._store.distrust_peers(wire_names.ENDPOINTS_KIND)
+        self._endpoint_watcher.restart_watch()
 
     def _make_presence(self) -> Presence:
         states_by_id = self._serving.endpoint_registry.local_states_by_id()
--- a/apps/gateway/src/shallotstand/gateway/serving.py
+++ b/apps/gateway/src/shallotstand/gateway/serving.py
@@ -10,6 +10,7 @@
 from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.plain import UnaryDispatcher
 from shallotstand.dispatch.request_handler import RequestHandler
+from shallotstand.dispatch.start_check import StartCheck
 from shallotstand.dispatch.usage import UsageMeter
 from shallotstand.documents.protocols import DocumentStore
 from shallotstand.peers.stream_origins import StoredStreamOrigins
@@ -24,6 +25,7 @@
       unary_dispatcher: Serves requests whose response is not streamed.
       crash_record: Requests under which endpoints ended.
       stream_origins: Where callers' streams began.
+      start_check: Checks which software endpoints run.
       usage_meter: Counts requests for the usage report.
       request_handler: Admits and dispatches requests.
     """
@@ -56,6 +58,7 @@
         self.stream_origins = StoredStreamOrigins(
             store, self.endpoint_registry, boot.instance, clock
         )
+        self.start_check = StartCheck(self.client)
         self.usage_meter = UsageMeter(boot.usage_window_s, clock)
         self.request_handler = RequestHandler(
             self.endpoint_registry,
@@ -65,4 +68,5 @@
             clock,
             self.crash_record,
             self.stream_origins,
+            self.start_check,
         )
--- a/apps/standins/src/shallotstand/standins/fleet.py
+++ b/apps/standins/src/shallotstand/standins/fleet.py
@@ -121,6 +121,14 @@
         """File with the standard output and standard error of the process."""
         return self._directory / f"{self.node}.log"
 
+    @property
+    def watches_for_peers(self) -> bool:
+        """Whether the gateway watches the store for the others."""
+        text = self.log_path.read_text("utf-8")
+        return text.rfind("Watches the store for its peers") > text.rfind(
+            "Leaves the watches to a peer"
+        )
+
     async def stop(self, signal_number: signal.Signals) -> int:
         """Sends a signal and returns the exit code of the process."""
         self.process.send_signal(signal_number)
@@ -254,6 +262,13 @@
         ) as response:
             return response.status, await response.read()
 
+    async def wait_for_watcher(self) -> Machine:
+        """Returns the gateway that watches the store for the others."""
+        await self.wait_until(
+            lambda: sum(g.watches_for_peers for g in self.gateways) == 1
+        )
+        return next(g for g in self.gateways if g.watches_for_peers)
+
     async def wait_until(self, condition, timeout_s: float = 15.0) -> None:
         """Polls a condition until it holds; fails after a timeout."""
         started = time.monotonic()
--- a/apps/standins/src/shallotstand/standins/fleet_engine.py
+++ b/apps/standins/src/shallotstand/standins/fleet_engine.py
@@ -11,6 +11,7 @@
 
 _ATTEMPT_ID_HEADER = "X-Shallotstand-Attempt-Id"
 _SEAL_HEADER = "X-Shallotstand-Server-Seal"
+_EXPECTED_HEADER = "X-Shallotstand-Expect-Instance"
 _VERSIONS_HEADER = "X-Shallotstand-Weight-Versions"
 # Time for which an engine runs a request that makes it crash, and time until it
 # is back.
@@ -119,6 +120,13 @@
         self.reset_connections()
         self._restart_task = asyncio.create_task(self._restart(restart_after_s))
 
+    async def restart(self, software_version: str) -> None:
+        """Starts again at once, with other software and the same identifier."""
+        await self._site.stop()
+        self.reset_connections()
+        self.software_version = software_version
+        await self._restart(0.0)
+
     def reset_connections(self) -> None:
         """Resets all connections, also those with a request under way."""
         for protocol in self._runner.server.connections:
@@ -201,8 +209,11 @@
         await response.write_eof()
         return response
 
-    async def _handle_report(self, _: web.Request) -> web.Response:
+    async def _handle_report(self, request: web.Request) -> web.Response:
+        if request.headers.get(_EXPECTED_HEADER, self.name) != self.name:
+            return web.Response(status=421)
         body = {
+            "born": self.started_ms,
             "stage": "both",
             "models": [{"name": "model", "version": self.version}],
             "busy": False,
--- a/apps/standins/src/shallotstand/standins/memory_engines.py
+++ b/apps/standins/src/shallotstand/standins/memory_engines.py
@@ -75,6 +75,8 @@
       answer: Returns the response to a call that is not streamed; a float
         is a delay in seconds before a response with the body `late`.
       stream: Returns the stream that a call opens.
+      start_by_endpoint: Start that an endpoint reports, instead of that of its
+        entry.
     """
 
     def __init__(self) -> None:
@@ -87,6 +89,11 @@
         self.stream: Callable[[SentCall], MemoryStream | Failure] = lambda _: (
             REFUSED
         )
+        self.start_by_endpoint: dict[str, int | Failure] = {}
+
+    async def fetch_start(self, endpoint: Endpoint) -> int | Failure:
+        """Returns the start that an endpoint reports."""
+        return self.start_by_endpoint.get(endpoint.id, endpoint.started_ms)
 
     async def send_request(
         self,
--- a/libs/core/src/shallotstand/core/codes.py
+++ b/libs/core/src/shallotstand/core/codes.py
@@ -46,6 +46,7 @@
     CANCELLED = 2005
     STREAM_KEY_WITHDRAWN = 2006
     ENDPOINT_ERROR = 2007
+    ENDPOINT_RESTARTED = 2008
 
     OBJECT_SYNTAX = 3001
     OBJECT_FIELD = 3002
@@ -195,6 +196,9 @@
     ResultCode.ENDPOINT_ERROR: CodeInfo(
         502, "The endpoint reported an error after it accepted the request."
     ),
+    ResultCode.ENDPOINT_RESTARTED: CodeInfo(
+        502, "The endpoint may have started again with other software."
+    ),
     ResultCode.OBJECT_SYNTAX: CodeInfo(
         400, "The file or object can't be parsed."
     ),
--- a/libs/dispatch/src/shallotstand/dispatch/endpoint_client.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoint_client.py
@@ -164,6 +164,18 @@
     nor will run. After any other Failure, it may have run.
     """
 
+    async def fetch_start(self, endpoint: Endpoint) -> int | Failure:
+        """Asks an endpoint for the time of its start.
+
+        Returns:
+          Unix time in milliseconds.
+
+        Errors:
+          ENDPOINT_REFUSED: Another endpoint has the address.
+          Others: The endpoint does not tell.
+        """
+        ...
+
     async def send_request(
         self,
         endpoint: Endpoint,
--- a/libs/dispatch/src/shallotstand/dispatch/request_handler.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_handler.py
@@ -21,6 +21,7 @@
     UnaryDispatcher,
     build_endpoint_request,
 )
+from shallotstand.dispatch.start_check import StartCheck
 from shallotstand.dispatch.stream_origins import StreamOrigins
 from shallotstand.dispatch.streams import CallerStream
 from shallotstand.dispatch.usage import UsageMeter
@@ -68,7 +69,9 @@
         clock: Clock,
         crash_record: CrashRecord,
         stream_origins: StreamOrigins,
+        start_check: StartCheck,
     ):
+        self._start_check = start_check
         self._stream_origins = stream_origins
         self._crash_record = crash_record
         self._endpoint_registry = endpoint_registry
@@ -196,6 +199,7 @@
             endpoint_request,
             self._clock.monotonic() + budget_s,
             self._stream_origins,
+            self._start_check,
             request.resumed_id,
             guard,
         )
--- a/libs/dispatch/src/shallotstand/dispatch/streams.py
+++ b/libs/dispatch/src/shallotstand/dispatch/streams.py
@@ -19,6 +19,7 @@
 )
 from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
 from shallotstand.dispatch.plain import at_limit_failure, log_cut_off
+from shallotstand.dispatch.start_check import StartCheck
 from shallotstand.dispatch.stream_origins import StreamOrigin, StreamOrigins
 
 # Longest gap between events before a stream resumes on another endpoint. A
@@ -30,6 +31,9 @@
 # an event.
 RESUME_WAIT_S = 1.5
 RESUME_RETRY_S = 0.05
+# Longest wait for the new entry of an endpoint that has started again. An entry
+# comes within a moment, unless this process does not hear of it at all.
+RESTART_WAIT_S = 0.5
 # Status of a response whose content is a stream of events.
 _STREAM_STATUS = 200
 
@@ -54,6 +58,7 @@
         endpoint_request: EndpointRequest,
         deadline: float,
         origins: StreamOrigins,
+        start_check: StartCheck,
         resumed_id: str = "",
         guard: CrashGuard = UNGUARDED,
     ):
@@ -67,11 +72,13 @@
           endpoint_request: The request to endpoints.
           deadline: Monotonic time in seconds at which the stream ends.
           origins: Where streams begin.
+          start_check: Checks which software an endpoint runs.
           resumed_id: Identifier of the caller's request that brought the first
             event; empty if the stream begins, or if the caller names none.
           guard: Keeps the request from crashing endpoint after endpoint.
         """
         self._origins = origins
+        self._start_check = start_check
         self._resumed_id = resumed_id
         self._origin: StreamOrigin | None = None
         self._deadline = deadline
@@ -84,7 +91,9 @@
         self._endpoint: Endpoint | None = None
         self._stream: EventStream | None = None
         self._attempt_started_at = 0.0
-        self._tried_endpoint_ids: set[str] = set()
+        # Identifiers and starts of the endpoints that got the request.
+        self._tried_starts: set[tuple[str, int]] = set()
+        self._has_met_restart = False
         self._next_event_number: int | None = (
             None
             if endpoint_request.last_event_id is None
@@ -127,12 +136,14 @@
             await self._wait_for_endpoints()
         not_run = Failure(ResultCode.NO_ENDPOINT, "No endpoint is available.")
         ran: EndpointResponse | Failure | None = None
-        while len(self._tried_endpoint_ids) < max(1, self._route.max_attempts):
+        while self._attempts_left:
             if ran is not None and not self._guard.may_send_again():
                 break
             endpoint = await self._choose_endpoint()
             if isinstance(endpoint, Failure):
                 return endpoint if ran is None else ran
+            if endpoint is None and await self._wait_for_new_entry():
+                continue
             if endpoint is None:
                 limit_wait_s = self._limit_wait_s()
                 if limit_wait_s:
@@ -264,18 +275,23 @@
             self._origin = origin
         return next(filter(self._may_serve, candidates), None)
 
+    @property
+    def _attempts_left(self) -> int:
+        return max(1, self._route.max_attempts) - len(self._tried_starts)
+
     def _may_serve(self, endpoint: Endpoint) -> bool:
+        if (endpoint.id, endpoint.started_ms) in self._tried_starts:
+            return False
         return self._origin is None or (
             StreamOrigin.from_endpoint(endpoint) == self._origin
         )
 
     def _candidates(self) -> list[Endpoint]:
-        tried = frozenset(self._tried_endpoint_ids)
         return [
             endpoint
             for target in self._route.targets
             for endpoint in self._endpoint_registry.candidates(
-                target.service, tried, is_usable=self._may_serve
+                target.service, is_usable=self._may_serve
             )
         ]
 
@@ -287,7 +303,7 @@
         Returns:
           The open stream; the whole response if it is none; or a Failure.
         """
-        self._tried_endpoint_ids.add(endpoint.id)
+        self._tried_starts.add((endpoint.id, endpoint.started_ms))
         self._endpoint_registry.record_request_start(endpoint)
         self._endpoint = endpoint
         now = self._attempt_started_at = self._clock.monotonic()
@@ -303,6 +319,8 @@
             if not isinstance(outcome, Failure):
                 self._stream = outcome
                 outcome = await self._read_if_no_stream(outcome)
+            if not isinstance(outcome, Failure | EndpointResponse):
+                outcome = await self._check_start(endpoint) or outcome
         except BaseException:
             self.close()
             raise
@@ -311,6 +329,14 @@
             self.close()
         return outcome
 
+    async def _check_start(self, endpoint: Endpoint) -> Failure | None:
+        """Returns a Failure if the stream could not go on where it begins."""
+        if not self._route.is_resumable:
+            return None
+        failure = await self._start_check.find_restart(endpoint)
+        self._has_met_restart |= failure is not None
+        return failure
+
     async def _read_if_no_stream(
         self, stream: EventStream
     ) -> EventStream | EndpointResponse | Failure:
@@ -365,7 +391,7 @@
         return (
             self._route.is_resumable
             and self._guard.may_send_again()
-            and len(self._tried_endpoint_ids) < max(1, self._route.max_attempts)
+            and self._attempts_left > 0
             and self._clock.monotonic() < self._deadline
         )
 
@@ -373,9 +399,21 @@
         """Returns the endpoints on which the stream may resume now."""
         return self._candidates() if self._may_resume else []
 
-    async def _wait_for_endpoints(self) -> list[Endpoint]:
+    async def _wait_for_new_entry(self) -> bool:
+        """Waits for the new entry of an endpoint that has started again.
+
+        Returns:
+          Whether an endpoint may serve the stream now.
+        """
+        return self._has_met_restart and bool(
+            await self._wait_for_endpoints(RESTART_WAIT_S)
+        )
+
+    async def _wait_for_endpoints(
+        self, wait_s: float = RESUME_WAIT_S
+    ) -> list[Endpoint]:
         """Waits until the stream may resume; returns the endpoints then."""
-        waits_until = self._clock.monotonic() + RESUME_WAIT_S
+        waits_until = self._clock.monotonic() + wait_s
         while not (endpoints := self._next_endpoints()):
             if not self._may_resume or not self._has_untried_endpoint():
                 return []
@@ -385,10 +423,9 @@
         return endpoints
 
     def _has_untried_endpoint(self) -> bool:
-        """Returns whether an endpoint may serve the stream after a backoff."""
-        return any(
-            endpoint.id not in self._tried_endpoint_ids
-            and self._may_serve(endpoint)
+        """Returns whether an endpoint may serve the stream after a wait."""
+        return self._has_met_restart or any(
+            self._may_serve(endpoint)
             for target in self._route.targets
             for endpoint in self._endpoint_registry.active(target.service)
         )
--- a/libs/dispatch/tests/test_at_limit.py
+++ b/libs/dispatch/tests/test_at_limit.py
@@ -12,6 +12,7 @@
 from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.plain import MAX_RETRY_AFTER_S, UnaryDispatcher
 from shallotstand.dispatch.slots import ResourceRequest, SlotPool
+from shallotstand.dispatch.start_check import StartCheck
 from shallotstand.dispatch.streams import CallerStream
 from shallotstand.standins.memory_engines import (
     MemoryEngines,
@@ -83,6 +84,7 @@
             REQUEST,
             self.clock.monotonic() + 4.0,
             MemoryStreamOrigins(),
+            StartCheck(self.engines),
         )
         failure = await stream.open()
         stream.close()
--- a/libs/dispatch/tests/test_streams.py
+++ b/libs/dispatch/tests/test_streams.py
@@ -11,6 +11,7 @@
 from shallotstand.dispatch.config import Route, RouteKind, RouteTarget
 from shallotstand.dispatch.endpoint_client import EndpointRequest
 from shallotstand.dispatch.endpoints import EndpointRegistry
+from shallotstand.dispatch.start_check import StartCheck
 from shallotstand.dispatch.streams import CallerStream
 from shallotstand.standins.memory_engines import (
     ANSWER_CUT,
@@ -48,8 +49,24 @@
     )
 
 
-def read_stream(stream, is_resumable, deadline_s=2.0, engines=("a", "b")):
-    """Returns what the caller receives and the engines that were asked."""
+def read_stream(
+    stream,
+    is_resumable,
+    deadline_s=2.0,
+    engines=("a", "b"),
+    starts=None,
+    change=None,
+):
+    """Returns what the caller receives and the engines that were asked.
+
+    Args:
+      stream: Returns the stream that a call opens.
+      is_resumable: Whether the stream may be resumed.
+      deadline_s: Seconds until the stream has to end.
+      engines: Names of the engines.
+      starts: Starts that engines report instead of those of their entries.
+      change: Called with the registry 0.1 s after the start.
+    """
 
     async def scenario():
         clock = SystemClock()
@@ -58,6 +75,9 @@
             registry.update_endpoint(make_endpoint(name))
         client = MemoryEngines()
         client.stream = stream
+        client.start_by_endpoint.update(starts or {})
+        if change is not None:
+            asyncio.get_running_loop().call_later(0.1, change, registry)
         caller_stream = CallerStream(
             registry,
             client,
@@ -68,10 +88,13 @@
             ),
             clock.monotonic() + deadline_s,
             MemoryStreamOrigins(),
+            StartCheck(client),
         )
-        assert await caller_stream.open() is None
+        failure = await caller_stream.open()
         received = [event async for event in caller_stream.events()]
         caller_stream.close()
+        if failure is not None:
+            received.append(failure)
         return received, [sent.endpoint for sent in client.sent]
 
     return asyncio.run(asyncio.wait_for(scenario(), 10))
@@ -206,3 +229,68 @@
     answers = iter([error_stream(), MemoryStream(numbered_events(1, 2), 1)])
     received, _ = read_stream(lambda _: next(answers), is_resumable=True)
     assert [event.number for event in received] == [1, 2]
+
+
+def test_stream_never_begins_at_an_engine_with_another_start():
+    # Guards against a stream that counts as begun by the software that the
+    # engine ran before.
+    received, endpoints = read_stream(
+        lambda _: MemoryStream(numbered_events(1, 3), 1),
+        is_resumable=True,
+        starts={"a": 9},
+    )
+    assert [event.number for event in received] == [1, 2, 3]
+    assert endpoints == ["a", "b"]
+
+
+def test_stream_never_goes_on_at_an_engine_with_another_start():
+    # Guards against events of two software versions in one stream: the list of
+    # engines does not tell yet that one has started again.
+    def stream(sent):
+        if sent.endpoint == "a":
+            return MemoryStream([*numbered_events(1, 2), ANSWER_CUT], 1)
+        return MemoryStream(numbered_events(first_number(sent), 4), 1)
+
+    received, endpoints = read_stream(
+        stream, True, engines=("a", "b", "c"), starts={"b": 9}
+    )
+    assert [event.number for event in received] == [1, 2, 3, 4]
+    assert endpoints == ["a", "b", "c"]
+
+
+def test_stream_begins_once_the_new_start_is_listed():
+    # Guards against an error where the only engine has just started again.
+    received, endpoints = read_stream(
+        lambda _: MemoryStream(numbered_events(1, 3), 1),
+        True,
+        engines=("a",),
+        starts={"a": 9},
+        change=lambda registry: registry.update_endpoint(
+            make_endpoint("a", started_ms=9, software_version="newer")
+        ),
+    )
+    assert [event.number for event in received] == [1, 2, 3]
+    assert endpoints == ["a", "a"]
+
+
+def test_stream_fails_soon_if_the_new_start_is_not_listed():
+    started = SystemClock().monotonic()
+    received, endpoints = read_stream(
+        lambda _: MemoryStream(numbered_events(1, 3), 1),
+        True,
+        deadline_s=5.0,
+        engines=("a",),
+        starts={"a": 9},
+    )
+    assert received[-1].code == ResultCode.ENDPOINT_RESTARTED
+    assert endpoints == ["a"]
+    assert SystemClock().monotonic() - started < 1.0
+
+
+def test_stream_that_is_never_resumed_is_not_checked():
+    received, _ = read_stream(
+        lambda _: MemoryStream(numbered_events(1, 3), 1),
+        is_resumable=False,
+        starts={"a": 9, "b": 9},
+    )
+    assert [event.number for event in received] == [1, 2, 3]
--- a/libs/peers/src/shallotstand/peers/change_feed.py
+++ b/libs/peers/src/shallotstand/peers/change_feed.py
@@ -51,6 +51,11 @@
         """Returns whether a segment arrived in the last `max_age_s` seconds."""
         return self.silence_s < max_age_s
 
+    def distrust(self) -> None:
+        """Forgets that a peer has told of the kind lately."""
+        self._last_received_at = float("-inf")
+        self.wake_waiters()
+
     def wake_waiters(self) -> None:
         """Makes all waiters check their conditions again."""
         self._update_received.set()
--- a/libs/peers/src/shallotstand/peers/shared_store.py
+++ b/libs/peers/src/shallotstand/peers/shared_store.py
@@ -113,6 +113,13 @@
                 revision=message.to_revision,
             )
 
+    def distrust_peers(self, kind: str) -> None:
+        """Lets the next watch of a kind ask the store.
+
+        For a process that has learned that changes are missing.
+        """
+        self._feed(kind).distrust()
+
     async def list(self, kind: str) -> Listing | Failure:
         """Reads all documents of a kind."""
         return self._check_outcome(await self._store.list(kind))
--- a/libs/peers/tests/test_shared_store.py
+++ b/libs/peers/tests/test_shared_store.py
@@ -202,3 +202,21 @@
         await wait_until(lambda: {"a", "b"} <= set(follower.received_names()))
 
     run(scenario)
+
+
+def test_process_asks_the_store_when_it_distrusts_its_peers():
+    # Guards against a process that knows that its copy is out of date and
+    # waits for the watching process, which stands still.
+    async def scenario(documents, watching_process, follower):
+        await wait_settled(documents)
+        watching_process.peers = []
+        # The follower still counts what it has just heard as current.
+        await asyncio.sleep(0.01)
+        await documents.create("probe", "a", {"x": 1})
+        follower.store.distrust_peers("probe")
+        started = SystemClock().monotonic()
+        follower.watchers[0].restart_watch()
+        await wait_until(lambda: "a" in follower.received_names())
+        assert SystemClock().monotonic() - started < WAIT_S / 4
+
+    run(scenario)
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -8,7 +8,7 @@
 from typing import NamedTuple
 
 import aiohttp
-from shallotstand.standins.fleet import HOST, Fleet
+from shallotstand.standins.fleet import HOST, Fleet, Machine
 from shallotstand.standins.fleet_engine import FleetEngine
 
 SOFTWARE_VERSIONS = ("old", "new")
@@ -68,11 +68,24 @@
             response_count += self.ends[-1].status != 0
             await asyncio.sleep(TAKE_UP_DELAY_S)
 
-    async def attempt(self, resumed_id: str) -> None:
+    @property
+    def first_attempt_id(self) -> str:
+        """The attempt that brought the first event; empty if none did."""
+        return self._first_attempt_id
+
+    async def attempt(
+        self,
+        resumed_id: str,
+        gateway: Machine | None = None,
+        max_events: int = EVENTS,
+    ) -> None:
         """Sends one request.
 
         Args:
           resumed_id: Attempt that brought the first event; empty if none.
+          gateway: Gateway that gets it; None for any.
+          max_events: Number of events of the stream after which the client
+            closes the connection.
         """
         attempt_id = f"{self._name}-{next(self._numbers)}"
         headers = {
@@ -86,7 +99,7 @@
             headers["Last-Event-Id"] = str(len(self.events))
         if resumed_id:
             headers["Resumes"] = resumed_id
-        gateway = self._rng.choice(self._fleet.gateways)
+        gateway = gateway or self._rng.choice(self._fleet.gateways)
         started = time.monotonic()
         status = 0
         with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
@@ -100,17 +113,23 @@
             ):
                 status = response.status
                 if status == 200:
-                    await self._read_events(response, attempt_id)
+                    await self._read_events(response, attempt_id, max_events)
         self.ends.append(StreamEnd(status, time.monotonic() - started))
 
     async def _read_events(
-        self, response: aiohttp.ClientResponse, attempt_id: str
+        self,
+        response: aiohttp.ClientResponse,
+        attempt_id: str,
+        max_events: int,
     ) -> None:
         async for line in response.content:
             if line.startswith(b"data: "):
                 if not self.events:
                     self._first_attempt_id = attempt_id
                 self.events.append(line[6:].decode().strip())
+                if max_events <= len(self.events) < EVENTS:
+                    response.close()
+                    return
 
 
 def make_writers() -> tuple[FleetEngine, ...]:
--- a/tests/adapter/test_http_frontend.py
+++ b/tests/adapter/test_http_frontend.py
@@ -31,6 +31,7 @@
 from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.plain import UnaryDispatcher
 from shallotstand.dispatch.request_handler import RequestHandler
+from shallotstand.dispatch.start_check import StartCheck
 from shallotstand.dispatch.usage import UsageMeter
 from shallotstand.standins.memory_documents import MemoryDocuments
 from shallotstand.standins.memory_engines import (
@@ -96,6 +97,7 @@
             clock,
             CrashRecord(self.endpoints, clock),
             MemoryStreamOrigins(),
+            StartCheck(self.engines),
         )
         self.batches = BatchRegistry()
         self.log = BatchLog(self.store, self.batches, clock)
--- a/tests/test_stale_configuration.py
+++ b/tests/test_stale_configuration.py
@@ -50,21 +50,6 @@
     asyncio.run(run_with_fleet())
 
 
-def watches_for_peers(gateway):
-    text = gateway.log_path.read_text("utf-8")
-    return text.rfind("Watches the store for its peers") > text.rfind(
-        "Leaves the watches to a peer"
-    )
-
-
-async def split_by_watcher(fleet):
-    """Returns the gateway that watches the store, and the other one."""
-    await fleet.wait_until(
-        lambda: sum(map(watches_for_peers, fleet.gateways)) == 1
-    )
-    return sorted(fleet.gateways, key=watches_for_peers, reverse=True)
-
-
 def with_later_route():
     """Returns a newer configuration that has one more route and key."""
     newer = configuration(2, ("key-1", "key-2"))
@@ -100,7 +85,8 @@
     # it has not heard of the route under which a peer has accepted the batch.
     async def scenario(fleet):
         await asyncio.sleep(2.0)
-        stale, current = await split_by_watcher(fleet)
+        stale = await fleet.wait_for_watcher()
+        (current,) = set(fleet.gateways) - {stale}
         stale.store_proxy.set_mode(Mode.SILENT)
         await fleet.platform.put("config", "main", with_later_route())
         await asyncio.sleep(IN_FORCE_WITHIN_S)
