Check which start of an engine goes on with an item's text

The same cause on the path of batches: an item's text goes on at an engine whose entry names the right software, though the engine has started again with other software.

An engine that goes on with a text is asked for its start, as for a caller's stream. A text begins without that while the store confirms the list of engines, since items are many; while it does not, its engine is asked, and a text whose engine was not asked is discarded if it breaks off then. The item starts over, which the platform allows.

--- a/apps/gateway/src/shallotstand/gateway/batching.py
+++ b/apps/gateway/src/shallotstand/gateway/batching.py
@@ -103,6 +103,7 @@
             serving.client,
             serving.unary_dispatcher,
             SizeEstimate(),
+            serving.start_check,
             lambda: serving.request_handler.configuration,
             clock,
         )
--- a/libs/batches/src/shallotstand/batches/item_run.py
+++ b/libs/batches/src/shallotstand/batches/item_run.py
@@ -6,12 +6,12 @@
 
 from absl import logging
 from shallotstand.batches.event_interval import EventInterval
+from shallotstand.batches.item_scoring import score_item
 from shallotstand.batches.progress import Progress
 from shallotstand.batches.records import (
     Item,
     Result,
     ResultState,
-    ScoringRequest,
     Submission,
 )
 from shallotstand.batches.size_estimate import SizeEstimate
@@ -29,6 +29,7 @@
 from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
 from shallotstand.dispatch.plain import UnaryDispatcher
 from shallotstand.dispatch.slots import ResourceRequest, SlotPool
+from shallotstand.dispatch.start_check import StartCheck
 
 # Longest wait for a slot of an engine with the software that began a text. The
 # text is discarded then if engines with other software could start over.
@@ -55,8 +56,6 @@
 MAX_MOVES = 3
 # Time limit for one attempt at an engine.
 ATTEMPT_TIMEOUT_S = 20.0
-# Delay before a failed scoring request is repeated.
-SCORE_RETRY_DELAY_S = 0.1
 # Delay before an item checks again for a route that the configuration lacks.
 ROUTE_RETRY_DELAY_S = 0.2
 
@@ -70,6 +69,7 @@
       client: Sends requests to endpoints.
       scoring_dispatcher: Sends scoring requests.
       size_estimate: Estimates how many events an item still needs.
+      start_check: Checks which software endpoints run.
       configuration: Returns the current configuration; None until the first
         arrives.
       clock: Source of time.
@@ -80,6 +80,7 @@
     client: EndpointClient
     scoring_dispatcher: UnaryDispatcher
     size_estimate: SizeEstimate
+    start_check: StartCheck
     configuration: Callable[[], Configuration | None]
     clock: Clock
 
@@ -118,6 +119,7 @@
         self._avoided_endpoint_id = ""
         self._last_endpoint_id = ""
         self._attempt_count = 0
+        self._is_start_checked = False
         self._move_count = 0
         self._waited_s = 0.0
         self.progress = progress
@@ -134,10 +136,14 @@
         generated = self._dependencies.clock.monotonic()
         score = ""
         if self._item.scorer is not None:
-            outcome = await self._score(self._item.scorer)
-            if isinstance(outcome, Result):
-                return outcome
-            score = outcome
+            score = await score_item(
+                self._item.scorer,
+                self._dependencies.scoring_dispatcher,
+                self._dependencies.configuration,
+                self._dependencies.clock,
+            )
+            if score is None:
+                return self._give_up("too many scorer errors")
         logs.event(
             logging.INFO,
             "Item done",
@@ -175,6 +181,7 @@
             self._waited_s += started - requested
             self._attempt_count += 1
             self._last_endpoint_id = endpoint.id
+            is_continued = bool(self.progress.events)
             try:
                 outcome = await self._run_attempt(endpoint, route)
             finally:
@@ -186,8 +193,26 @@
             )
             if lost_result is not None:
                 return lost_result
+            if outcome is not None and not is_continued:
+                self._discard_text_of_unknown_software(endpoint)
         return None
 
+    def _discard_text_of_unknown_software(self, endpoint: Endpoint) -> None:
+        """Discards a text unless it is known which software began it.
+
+        The endpoint may have started again before the text began.
+        """
+        if self.progress.events and not (
+            self._is_start_checked
+            or self._dependencies.start_check.is_list_current()
+        ):
+            self._log(
+                "Item starts over at other software",
+                endpoint,
+                "the list of endpoints is out of date",
+            )
+            self.progress.clear()
+
     async def _acquire_endpoint(self, route: Route) -> Endpoint:
         """Waits for a slot of an engine that can continue the text.
 
@@ -239,10 +264,28 @@
                 return Failure(
                     ResultCode.ENDPOINT_ERROR, f"status {stream.status}"
                 )
+            failure = await self._check_start(endpoint, event_count > 0)
+            if failure is not None:
+                return failure
             return await self._read_events(endpoint, route, stream)
         finally:
             stream.close()
 
+    async def _check_start(
+        self, endpoint: Endpoint, is_continued: bool
+    ) -> Failure | None:
+        """Returns a Failure if an endpoint may run other software than listed.
+
+        A text that begins at an endpoint of a current list needs no check.
+        """
+        start_check = self._dependencies.start_check
+        self._is_start_checked = (
+            is_continued or not start_check.is_list_current()
+        )
+        if not self._is_start_checked:
+            return None
+        return await start_check.find_restart(endpoint)
+
     async def _read_events(
         self, endpoint: Endpoint, route: Route, stream: EventStream
     ) -> Failure | _Moved | None:
@@ -400,37 +443,6 @@
         self._log("Item resumes elsewhere", endpoint, outcome.reason)
         return None
 
-    async def _score(self, scorer: ScoringRequest) -> str | Result:
-        error_count = 0
-        while True:
-            configuration = self._dependencies.configuration()
-            route = configuration.match_route(scorer.host, scorer.target)
-            if isinstance(route, Failure):
-                await asyncio.sleep(ROUTE_RETRY_DELAY_S)
-                continue
-            served = await self._dependencies.scoring_dispatcher.serve(
-                route,
-                EndpointRequest(
-                    "POST",
-                    scorer.target,
-                    scorer.host,
-                    (),
-                    scorer.body,
-                    scorer.id,
-                    None,
-                    is_repeatable=True,
-                ),
-                self._dependencies.clock.monotonic(),
-                route.timeout_s,
-            )
-            response = served.outcome
-            if not isinstance(response, Failure) and response.is_success:
-                return response.signature
-            error_count += served.failed_attempt_count
-            if error_count >= route.max_attempts:
-                return self._give_up("too many scorer errors")
-            await asyncio.sleep(SCORE_RETRY_DELAY_S)
-
     async def _wait_for_route(self) -> Route:
         """Waits until the configuration has the item's route."""
         while True:
--- a/libs/batches/tests/conftest.py
+++ b/libs/batches/tests/conftest.py
@@ -20,6 +20,7 @@
 from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.plain import UnaryDispatcher
 from shallotstand.dispatch.slots import SlotPool
+from shallotstand.dispatch.start_check import StartCheck
 from shallotstand.standins.memory_documents import MemoryDocuments
 from shallotstand.standins.memory_engines import MemoryEngines
 
@@ -104,6 +105,7 @@
             self.engines,
             scoring_dispatcher,
             SizeEstimate(),
+            StartCheck(self.engines),
             self.configuration,
             clock,
         )
--- a/libs/batches/tests/test_item_run.py
+++ b/libs/batches/tests/test_item_run.py
@@ -414,3 +414,53 @@
     result = asyncio.run(asyncio.wait_for(scenario(), 5))
     assert result.text == "text 1\ntext 2\ntext 3"
     assert [sent.request.last_event_id for sent in streams_sent(engines)] == [2]
+
+
+def test_text_never_goes_on_at_an_engine_with_another_start(
+    environment, mixed_engines
+):
+    # Guards against a text that goes on at an engine which has started again
+    # with other software than its entry says.
+    mixed_engines.start_by_endpoint["a"] = 9
+    mixed_engines.stream = lambda sent: MemoryStream(
+        numbered_events((sent.request.last_event_id or 0) + 1, 4), 1
+    )
+    result = run(environment, started_text("v1"))
+    assert result.text == "\n".join(f"text {n}" for n in range(1, 5))
+    assert mixed_engines.sent[-2].endpoint == "c"
+
+
+def test_text_begins_at_a_checked_start_while_the_list_is_out_of_date(
+    environment, mixed_engines
+):
+    # Guards against a text that counts as begun by the software that the
+    # engine ran before.
+    check = environment.dependencies.start_check
+    check.is_list_current = lambda: False
+    mixed_engines.start_by_endpoint.update(a=9, b=9)
+    mixed_engines.stream = lambda _: MemoryStream(numbered_events(1, 4), 1)
+    assert run(environment).text == "\n".join(f"text {n}" for n in range(1, 5))
+    assert mixed_engines.sent[-2].endpoint == "c"
+
+
+@pytest.mark.parametrize("is_list_current", [False, True])
+def test_text_of_unknown_software_starts_over(
+    environment, engines, is_list_current
+):
+    # Guards against a text that breaks off while the list is out of date and
+    # goes on at the software that its engine ran before.
+    def lose_the_store():
+        check = environment.dependencies.start_check
+        check.is_list_current = lambda: is_list_current
+
+    def stream(sent):
+        first = (sent.request.last_event_id or 0) + 1
+        if len(engines.sent) == 1:
+            asyncio.get_running_loop().call_later(0.02, lose_the_store)
+            return MemoryStream([*numbered_events(1, 2), 0.1, ANSWER_CUT], 1)
+        return MemoryStream(numbered_events(first, 3), 1)
+
+    engines.stream = stream
+    assert run(environment).text == "text 1\ntext 2\ntext 3"
+    resumed_after = [s.request.last_event_id for s in streams_sent(engines)]
+    assert resumed_after == [None, 2 if is_list_current else None]
