--- a/apps/standins/src/shallotstand/standins/memory_engines.py
+++ b/apps/standins/src/shallotstand/standins/memory_engines.py
@@ -7,12 +7,12 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import Route
+from shallotstand.dispatch.endpoint import Endpoint
 from shallotstand.dispatch.endpoint_client import (
     EndpointRequest,
     EndpointResponse,
     StreamEvent,
 )
-from shallotstand.dispatch.endpoints import Endpoint
 from shallotstand.dispatch.stream_origins import StreamOrigin
 
 REFUSED = Failure(ResultCode.ENDPOINT_REFUSED, "full")
--- a/libs/batches/src/shallotstand/batches/item_run.py
+++ b/libs/batches/src/shallotstand/batches/item_run.py
@@ -20,13 +20,14 @@
 from shallotstand.core.codes import ResultCode, is_not_run
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import Configuration, Route
+from shallotstand.dispatch.endpoint import Endpoint
 from shallotstand.dispatch.endpoint_client import (
     EndpointClient,
     EndpointRequest,
     EventStream,
     StreamEvent,
 )
-from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
+from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.plain import UnaryDispatcher
 from shallotstand.dispatch.slots import ResourceRequest, SlotPool
 from shallotstand.dispatch.start_check import StartCheck
--- a/libs/dispatch/src/shallotstand/dispatch/crash_guard.py
+++ b/libs/dispatch/src/shallotstand/dispatch/crash_guard.py
@@ -5,8 +5,8 @@
 
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.crash_record import CrashRecord
+from shallotstand.dispatch.endpoint import Endpoint
 from shallotstand.dispatch.endpoint_client import EndpointRequest
-from shallotstand.dispatch.endpoints import Endpoint
 from shallotstand.dispatch.fingerprint import fingerprint
 
 
--- a/libs/dispatch/src/shallotstand/dispatch/crash_record.py
+++ b/libs/dispatch/src/shallotstand/dispatch/crash_record.py
@@ -14,7 +14,8 @@
 from shallotstand.core.clock import Clock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
-from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
+from shallotstand.dispatch.endpoint import Endpoint
+from shallotstand.dispatch.endpoints import EndpointRegistry
 
 # Crashes after which a request is refused.
 MAX_CRASHES = 3
--- a/libs/dispatch/src/shallotstand/dispatch/endpoint_client.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoint_client.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple, Protocol
 
 from shallotstand.core.failure import Failure
-from shallotstand.dispatch.endpoints import Endpoint
+from shallotstand.dispatch.endpoint import Endpoint
 
 
 class CallerRequest(NamedTuple):
--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -3,11 +3,11 @@
 import collections
 import itertools
 from collections.abc import Callable, Iterable, Iterator
-from typing import NamedTuple
 
 from absl import logging
 from shallotstand.core import logs
 from shallotstand.core.clock import Clock
+from shallotstand.dispatch.endpoint import Endpoint
 from shallotstand.dispatch.endpoint_health import EndpointHealth
 from shallotstand.dispatch.endpoint_state import EndpointState
 from shallotstand.dispatch.ranking import (
@@ -43,34 +43,6 @@
 _QUEUE_RANKING = QueueRanking()
 
 
-class Endpoint(NamedTuple):
-    """The registration of an endpoint.
-
-    Attributes:
-      id: Identifier of the endpoint.
-      service: Service that it belongs to.
-      address: Host and port.
-      zone: Availability zone.
-      slots: Number of requests that it processes concurrently.
-      is_leaving: Whether it is shutting down and accepts no new requests.
-      started_ms: Time of its start in Unix milliseconds; differs after a
-        restart.
-      version_by_model: Weight version of each model that it serves.
-      software_version: Version of its software. What endpoints of different
-        versions generate does not fit together.
-    """
-
-    id: str
-    service: str
-    address: str
-    zone: str
-    slots: int
-    is_leaving: bool
-    started_ms: int
-    version_by_model: dict[str, int]
-    software_version: str = ""
-
-
 class EndpointRegistry:
     """The registered endpoints, with their load and health.
 
--- a/libs/dispatch/src/shallotstand/dispatch/plain.py
+++ b/libs/dispatch/src/shallotstand/dispatch/plain.py
@@ -11,13 +11,14 @@
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import Route
 from shallotstand.dispatch.crash_guard import UNGUARDED, CrashGuard
+from shallotstand.dispatch.endpoint import Endpoint
 from shallotstand.dispatch.endpoint_client import (
     CallerRequest,
     EndpointClient,
     EndpointRequest,
     EndpointResponse,
 )
-from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
+from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.fingerprint import fingerprint
 
 # A request that has no response yet after this share of the latency objective
--- a/libs/dispatch/src/shallotstand/dispatch/slots.py
+++ b/libs/dispatch/src/shallotstand/dispatch/slots.py
@@ -6,7 +6,8 @@
 import itertools
 from typing import NamedTuple
 
-from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
+from shallotstand.dispatch.endpoint import Endpoint
+from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.ranking import EndpointRanking, SpeedRanking
 
 # Delay of an assignment after a peer has reported its use of endpoints. The
--- a/libs/dispatch/src/shallotstand/dispatch/start_check.py
+++ b/libs/dispatch/src/shallotstand/dispatch/start_check.py
@@ -11,8 +11,8 @@
 from shallotstand.core import logs
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
+from shallotstand.dispatch.endpoint import Endpoint
 from shallotstand.dispatch.endpoint_client import EndpointClient
-from shallotstand.dispatch.endpoints import Endpoint
 
 
 class StartCheck:
--- a/libs/dispatch/src/shallotstand/dispatch/stream_origins.py
+++ b/libs/dispatch/src/shallotstand/dispatch/stream_origins.py
@@ -5,7 +5,7 @@
 
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import Route
-from shallotstand.dispatch.endpoints import Endpoint
+from shallotstand.dispatch.endpoint import Endpoint
 
 
 class StreamOrigin(NamedTuple):
--- a/libs/dispatch/src/shallotstand/dispatch/stream_plan.py
+++ b/libs/dispatch/src/shallotstand/dispatch/stream_plan.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from shallotstand.core import rendezvous
-from shallotstand.dispatch.endpoints import Endpoint
+from shallotstand.dispatch.endpoint import Endpoint
 
 # Longest time from the start of a stream to the end of its last continuation.
 MAX_STREAM_S = 120.0
--- a/libs/dispatch/src/shallotstand/dispatch/streams.py
+++ b/libs/dispatch/src/shallotstand/dispatch/streams.py
@@ -10,6 +10,7 @@
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import Route
 from shallotstand.dispatch.crash_guard import UNGUARDED, CrashGuard
+from shallotstand.dispatch.endpoint import Endpoint
 from shallotstand.dispatch.endpoint_client import (
     EndpointClient,
     EndpointRequest,
@@ -17,7 +18,7 @@
     EventStream,
     StreamEvent,
 )
-from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
+from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.plain import at_limit_failure, log_cut_off
 from shallotstand.dispatch.start_check import StartCheck
 from shallotstand.dispatch.stream_origins import StreamOrigin, StreamOrigins
--- a/libs/duties/src/shallotstand/duties/weight_updates.py
+++ b/libs/duties/src/shallotstand/duties/weight_updates.py
@@ -11,7 +11,8 @@
 from shallotstand.core import logs
 from shallotstand.core.clock import Clock
 from shallotstand.core.failure import Failure
-from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
+from shallotstand.dispatch.endpoint import Endpoint
+from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.duties.lease import DutyLease
 
 # Maximum share of the engines that load weights at the same time, since
--- a/libs/peers/src/shallotstand/peers/crash_sharing.py
+++ b/libs/peers/src/shallotstand/peers/crash_sharing.py
@@ -9,7 +9,8 @@
 from shallotstand.core.clock import Clock
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.crash_record import Crash, CrashRecord
-from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
+from shallotstand.dispatch.endpoint import Endpoint
+from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.documents.protocols import (
     MALFORMED_CONTENT,
     Document,
--- a/libs/peers/src/shallotstand/peers/stream_origins.py
+++ b/libs/peers/src/shallotstand/peers/stream_origins.py
@@ -10,7 +10,8 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import Route
-from shallotstand.dispatch.endpoints import Endpoint, EndpointRegistry
+from shallotstand.dispatch.endpoint import Endpoint
+from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.stream_origins import StreamOrigin
 from shallotstand.dispatch.stream_plan import SHARES
 from shallotstand.documents.protocols import DocumentStore
