Send nothing new to an endpoint whose responses say that it leaves

The HTTP client reads the header of every response of an endpoint, also those that are refusals, errors, of no use, or reports, before anything else is decided about them. The registry leaves the endpoint out of what accepts requests, which all senders go by: callers' requests, retries, hedges, streams and their continuations, items, scoring requests, plans of streams. The statement belongs to one start of the endpoint. If all endpoints of a service leave they serve for one more second; after that, and where a service has no endpoint at all, requests are refused at once instead of after a fifth of their objective. What runs goes on.

Log: `Endpoint says that it leaves`, `Endpoint does not leave after all`, `Statement of leaving can't be read`, counted as all events.

--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -211,6 +211,7 @@
                     self._usage_writer.run,
                     self._crash_sharing.run,
                     self._serving.stream_origins.run,
+                    self._serving.leaving_check.run,
                 )
             )
         )
--- a/apps/gateway/src/shallotstand/gateway/serving.py
+++ b/apps/gateway/src/shallotstand/gateway/serving.py
@@ -8,6 +8,7 @@
 from shallotstand.core.clock import Clock
 from shallotstand.dispatch.crash_record import CrashRecord
 from shallotstand.dispatch.endpoints import EndpointRegistry
+from shallotstand.dispatch.leaving_check import LeavingCheck
 from shallotstand.dispatch.plain import UnaryDispatcher
 from shallotstand.dispatch.request_handler import RequestHandler
 from shallotstand.dispatch.start_check import StartCheck
@@ -26,6 +27,7 @@
       crash_record: Requests under which endpoints ended.
       stream_origins: Where callers' streams began.
       start_check: Checks which software endpoints run.
+      leaving_check: Asks endpoints whether they still leave.
       usage_meter: Counts requests for the usage report.
       request_handler: Admits and dispatches requests.
     """
@@ -59,6 +61,7 @@
             store, self.endpoint_registry, boot.instance, clock
         )
         self.start_check = StartCheck(self.client)
+        self.leaving_check = LeavingCheck(self.endpoint_registry, self.client)
         self.usage_meter = UsageMeter(boot.usage_window_s, clock)
         self.request_handler = RequestHandler(
             self.endpoint_registry,
--- a/apps/standins/src/shallotstand/standins/fleet.py
+++ b/apps/standins/src/shallotstand/standins/fleet.py
@@ -8,6 +8,8 @@
 import signal
 import sys
 import time
+from collections.abc import Mapping
+from typing import NamedTuple
 
 import aiohttp
 from shallotstand.standins.fleet_engine import FleetEngine
@@ -40,6 +42,22 @@
 """
 
 
+class Answer(NamedTuple):
+    """An answer of a gateway.
+
+    Attributes:
+      status: Its status.
+      headers: Its headers.
+      body: Its content.
+      answered_at: Monotonic time in seconds at which its head arrived.
+    """
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+    answered_at: float
+
+
 class Machine:
     """A machine and the gateway or keeper process that runs on it.
 
@@ -247,6 +265,21 @@
         key: str = "key-1",
     ) -> tuple[int, bytes]:
         """Sends a call on a new connection and returns status and body."""
+        answer = await self.exchange(
+            gateway, method, path, request_id, body, key
+        )
+        return answer.status, answer.body
+
+    async def exchange(
+        self,
+        gateway: Machine,
+        method: str,
+        path: str,
+        request_id: str = "r1",
+        body: bytes = b"",
+        key: str = "key-1",
+    ) -> Answer:
+        """Sends a call on a new connection and returns the whole answer."""
         async with self.session.request(
             method,
             f"http://{gateway.front_address}{path}",
@@ -260,7 +293,9 @@
                 "X-Shallotstand-Wait-Ms": "200",
             },
         ) as response:
-            return response.status, await response.read()
+            answered_at = time.monotonic()
+            body = await response.read()
+            return Answer(response.status, response.headers, body, answered_at)
 
     async def wait_for_watcher(self) -> Machine:
         """Returns the gateway that watches the store for the others."""
--- a/apps/standins/src/shallotstand/standins/fleet_engine.py
+++ b/apps/standins/src/shallotstand/standins/fleet_engine.py
@@ -11,6 +11,9 @@
 
 _ATTEMPT_ID_HEADER = "X-Shallotstand-Attempt-Id"
 _SEAL_HEADER = "X-Shallotstand-Server-Seal"
+LEAVING_HEADER = "Server-Leaving"
+# Tells a test which start of which engine gave an answer.
+START_HEADER = "X-Engine-Start"
 _EXPECTED_HEADER = "X-Shallotstand-Expect-Instance"
 _VERSIONS_HEADER = "X-Shallotstand-Weight-Versions"
 # Time for which an engine runs a request that makes it crash, and time until it
@@ -36,6 +39,9 @@
       arrivals_of_crashing: Monotonic times in seconds at which it began to run
         such requests.
       event_count: Number of events in each text.
+      leaving_header: Value of the header by which it says that it leaves, in
+        all its answers; None if it does not say so.
+      requests_by_start: Requests that it started, by its start.
       loses_answers: Whether it breaks connections off instead of answering
         plain requests that it has run.
       events_until_break: Events after which it breaks a stream off; 0 if it
@@ -73,6 +79,8 @@
         self.software_version = software_version
         self.crashing_body = b""
         self.arrivals_of_crashing: list[float] = []
+        self.leaving_header: str | None = None
+        self.requests_by_start: dict[str, set[str]] = {}
         self.loses_answers = False
         self.events_until_break = 0
         self.started_ms = 1_700_000_000_000
@@ -87,6 +95,7 @@
     async def start(self) -> str:
         """Listens on the loopback interface and returns the address."""
         app = web.Application()
+        app.on_response_prepare.append(self._add_headers)
         app.router.add_get("/shallotstand/report", self._handle_report)
         app.router.add_post("/shallotstand/order", self._handle_order)
         app.router.add_post("/rollouts/{tail:.*}", self._handle_stream)
@@ -146,6 +155,24 @@
         )
         await self._site.start()
 
+    @property
+    def start_name(self) -> str:
+        """Its identifier and start, as its answers name them for tests."""
+        return f"{self.name}@{self.started_ms}"
+
+    async def _add_headers(
+        self, _: web.Request, response: web.StreamResponse
+    ) -> None:
+        response.headers[START_HEADER] = self.start_name
+        if self.leaving_header is not None:
+            response.headers[LEAVING_HEADER] = self.leaving_header
+
+    def _record_start(self, request_id: str) -> None:
+        self.started_requests.append(request_id)
+        self.requests_by_start.setdefault(self.start_name, set()).add(
+            request_id
+        )
+
     async def _crash_if_told(self, request: web.Request) -> None:
         """Crashes if the request is one that it can't survive."""
         body = await request.read()
@@ -164,7 +191,7 @@
     async def _handle_plain(self, request: web.Request) -> web.Response:
         request_id = request.headers[_ATTEMPT_ID_HEADER]
         limit_headers = self.limit.record_arrival(request_id)
-        self.started_requests.append(request_id)
+        self._record_start(request_id)
         await self._crash_if_told(request)
         await asyncio.sleep(self._pause_s)
         if self.loses_answers:
@@ -180,7 +207,7 @@
     async def _handle_stream(self, request: web.Request) -> web.StreamResponse:
         request_id = request.headers[_ATTEMPT_ID_HEADER]
         limit_headers = self.limit.record_arrival(request_id)
-        self.started_requests.append(request_id)
+        self._record_start(request_id)
         await self._crash_if_told(request)
         response = web.StreamResponse(
             headers={
@@ -214,6 +241,7 @@
             return web.Response(status=421)
         body = {
             "born": self.started_ms,
+            "state": "draining" if self.leaving_header == "1" else "ready",
             "stage": "both",
             "models": [{"name": "model", "version": self.version}],
             "busy": False,
--- a/apps/standins/src/shallotstand/standins/memory_engines.py
+++ b/apps/standins/src/shallotstand/standins/memory_engines.py
@@ -11,6 +11,7 @@
 from shallotstand.dispatch.endpoint_client import (
     EndpointRequest,
     EndpointResponse,
+    SelfReport,
     StreamEvent,
 )
 from shallotstand.dispatch.stream_origins import StreamOrigin
@@ -77,6 +78,7 @@
       stream: Returns the stream that a call opens.
       start_by_endpoint: Start that an endpoint reports, instead of that of its
         entry.
+      leaving: Endpoints that report that they leave.
     """
 
     def __init__(self) -> None:
@@ -90,10 +92,14 @@
             REFUSED
         )
         self.start_by_endpoint: dict[str, int | Failure] = {}
-
-    async def fetch_start(self, endpoint: Endpoint) -> int | Failure:
-        """Returns the start that an endpoint reports."""
-        return self.start_by_endpoint.get(endpoint.id, endpoint.started_ms)
+        self.leaving: set[str] = set()
+
+    async def fetch_report(self, endpoint: Endpoint) -> SelfReport | Failure:
+        """Returns what an endpoint reports."""
+        started = self.start_by_endpoint.get(endpoint.id, endpoint.started_ms)
+        if isinstance(started, Failure):
+            return started
+        return SelfReport(started, endpoint.id in self.leaving)
 
     async def send_request(
         self,
--- a/libs/dispatch/src/shallotstand/dispatch/crash_record.py
+++ b/libs/dispatch/src/shallotstand/dispatch/crash_record.py
@@ -133,7 +133,7 @@
     def record_cut(self, fingerprint: bytes, endpoint: Endpoint) -> None:
         """Records that a request of this process was cut off."""
         current = self._endpoint_registry.by_id.get(endpoint.id)
-        if current is not None and current.is_leaving:
+        if current is not None and self._endpoint_registry.is_leaving(current):
             # It ends as planned.
             return
         crash = Crash(
--- a/libs/dispatch/src/shallotstand/dispatch/endpoint_client.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoint_client.py
@@ -105,6 +105,18 @@
     raw: bytes
 
 
+class SelfReport(NamedTuple):
+    """What an endpoint reports of itself.
+
+    Attributes:
+      started_ms: Time of its start in Unix milliseconds.
+      is_leaving: Whether it leaves.
+    """
+
+    started_ms: int
+    is_leaving: bool
+
+
 class EventStream(Protocol):
     """An endpoint's streamed response.
 
@@ -152,6 +164,15 @@
         """
         ...
 
+    def record_leaving(self, endpoint: Endpoint, source: str) -> None:
+        """Records that an endpoint has said that it leaves.
+
+        Args:
+          endpoint: The endpoint.
+          source: Kind of the response that said so, for the log.
+        """
+        ...
+
     def record_refused_connection(self, endpoint_id: str) -> None:
         """Records that nothing listens at the address of an endpoint."""
         ...
@@ -164,11 +185,8 @@
     nor will run. After any other Failure, it may have run.
     """
 
-    async def fetch_start(self, endpoint: Endpoint) -> int | Failure:
-        """Asks an endpoint for the time of its start.
-
-        Returns:
-          Unix time in milliseconds.
+    async def fetch_report(self, endpoint: Endpoint) -> SelfReport | Failure:
+        """Asks an endpoint to report of itself.
 
         Errors:
           ENDPOINT_REFUSED: Another endpoint has the address.
--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -2,7 +2,7 @@
 
 import collections
 import itertools
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 
 from absl import logging
 from shallotstand.core import logs
@@ -10,6 +10,7 @@
 from shallotstand.dispatch.endpoint import Endpoint
 from shallotstand.dispatch.endpoint_health import EndpointHealth
 from shallotstand.dispatch.endpoint_state import EndpointState
+from shallotstand.dispatch.leaving_endpoints import LeavingEndpoints
 from shallotstand.dispatch.ranking import (
     EndpointRanking,
     EndpointView,
@@ -51,6 +52,7 @@
     Attributes:
       by_id: Every registered endpoint by its identifier.
       request_shares: This process's shares of the limits that endpoints state.
+      leaving: What endpoints say in their responses of leaving.
     """
 
     def __init__(self, zone: str, clock: Clock, process_id: str = ""):
@@ -70,6 +72,7 @@
         self._expires_at_by_id: dict[str, float] = {}
         self._fetch_peer_states: Callable[[], dict[str, EndpointState]] = dict
         self.by_id: dict[str, Endpoint] = {}
+        self.leaving = LeavingEndpoints(clock)
         self.request_shares = RequestShares(process_id, clock)
         self.request_shares.set_peer_shares_source(self._peer_shares)
 
@@ -182,7 +185,7 @@
 
     def has_endpoints(self, service: str) -> bool:
         """Returns whether the service has endpoints that accept requests."""
-        return any(True for _ in self.active(service))
+        return bool(self.active(service))
 
     def free_slots(self, endpoint: Endpoint) -> int:
         """Returns how many slots neither this process nor its peers use."""
@@ -269,6 +272,15 @@
         ):
             self._notify()
 
+    def record_leaving(self, endpoint: Endpoint, source: str) -> None:
+        """Records that an endpoint has said that it leaves."""
+        self.leaving.record(endpoint, source)
+
+    def retract_leaving(self, endpoint: Endpoint) -> None:
+        """Records that an endpoint says that it does not leave after all."""
+        self.leaving.retract(endpoint)
+        self._notify()
+
     def record_refused_connection(self, endpoint_id: str) -> None:
         """Records that nothing listens at the address of an endpoint."""
         self._health_by_id[
@@ -409,14 +421,26 @@
             pause_s=backoff_s,
         )
 
-    def active(self, service: str) -> Iterator[Endpoint]:
-        """Returns the endpoints of a service that accept new requests."""
+    def active(self, service: str) -> list[Endpoint]:
+        """Returns the endpoints of a service that accept new requests.
+
+        If all of them have just said that they leave, these are returned.
+        """
         self._delete_expired()
-        return (
+        listed = [
             endpoint
             for endpoint in self.by_id.values()
             if endpoint.service == service and not endpoint.is_leaving
-        )
+        ]
+        return [
+            endpoint
+            for endpoint in listed
+            if not self.leaving.has_said(endpoint)
+        ] or list(filter(self.leaving.is_last_resort, listed))
+
+    def is_leaving(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint leaves by its entry or its responses."""
+        return endpoint.is_leaving or self.leaving.has_said(endpoint)
 
     def _delete_expired(self) -> None:
         if not self._expires_at_by_id:
--- a/libs/dispatch/src/shallotstand/dispatch/plain.py
+++ b/libs/dispatch/src/shallotstand/dispatch/plain.py
@@ -38,6 +38,10 @@
 # Maximum refusals of one request by endpoints; each costs a connection.
 MAX_REFUSALS = 8
 
+_NO_ENDPOINT = Failure(
+    ResultCode.NO_ENDPOINT, "No endpoint can accept the request now."
+)
+
 
 class ServeResult(NamedTuple):
     """The result of serving a request.
@@ -322,6 +326,8 @@
             return self._last_error_response
         if self._last_failure is not None:
             return self._last_failure
+        if not self._endpoint_registry.has_endpoints(service):
+            return _NO_ENDPOINT
         wait_left_s = (
             self._route.objective_s * MAX_WAIT_SHARE
             + started_at
@@ -331,10 +337,7 @@
         if limit_wait_s > max(0.0, wait_left_s):
             return at_limit_failure(limit_wait_s)
         if self.refusal_count >= MAX_REFUSALS or wait_left_s < 0:
-            return Failure(
-                ResultCode.NO_ENDPOINT,
-                "No endpoint can accept the request now.",
-            )
+            return _NO_ENDPOINT
         await asyncio.sleep(SATURATED_RETRY_S)
         self._refused_by.clear()
         return None
--- a/libs/dispatch/src/shallotstand/dispatch/start_check.py
+++ b/libs/dispatch/src/shallotstand/dispatch/start_check.py
@@ -44,13 +44,13 @@
         if not endpoint.started_ms:
             # The entry names no start.
             return None
-        reported = await self._client.fetch_start(endpoint)
-        if reported == endpoint.started_ms:
+        report = await self._client.fetch_report(endpoint)
+        is_unknown = isinstance(report, Failure)
+        if not is_unknown and report.started_ms == endpoint.started_ms:
             return None
-        is_unknown = isinstance(reported, Failure)
         if (
             is_unknown
-            and reported.code != ResultCode.ENDPOINT_REFUSED
+            and report.code != ResultCode.ENDPOINT_REFUSED
             and self.is_list_current()
         ):
             return None
@@ -60,8 +60,8 @@
             "Endpoint may have started again",
             endpoint=endpoint.id,
             listed_ms=endpoint.started_ms,
-            reported_ms=None if is_unknown else reported,
-            reason=reported.reason if is_unknown else "",
+            reported_ms=None if is_unknown else report.started_ms,
+            reason=report.reason if is_unknown else "",
         )
         return Failure(
             ResultCode.ENDPOINT_RESTARTED,
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -2,11 +2,13 @@
 
 import collections
 import itertools
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 from shallotstand.standins.duty_calls import DutyCall
 from shallotstand.standins.fleet import TURN_INTERVAL_S, Fleet
+from shallotstand.standins.fleet_engine import FleetEngine
 
+from soak.leaving import find_late_requests
 from soak.load import ITEMS_PER_BATCH, LoadGenerator
 
 # Calls that were under way when their sender was paused or cut off may arrive
@@ -18,6 +20,7 @@
     fleet: Fleet,
     load: LoadGenerator,
     resumed_at: list[tuple[str, float]],
+    interrupted_at: Sequence[tuple[str, float]] = (),
 ) -> list[str]:
     """Returns a description of every violated guarantee.
 
@@ -26,6 +29,8 @@
       load: What the callers received.
       resumed_at: Machines that resumed after a pause or a fault of their
         links, with the monotonic time.
+      interrupted_at: Machines whose process was paused or ended, with the
+        monotonic time.
     """
     receivers = (fleet.platform, *fleet.engines)
     return [
@@ -34,6 +39,15 @@
             for receiver in receivers
         ),
         *_plain_call_violations(fleet, load),
+        *find_late_requests(
+            load.passed_answers,
+            {
+                start: requests
+                for engine in _plain_engines(fleet)
+                for start, requests in engine.requests_by_start.items()
+            },
+            interrupted_at,
+        ),
         *load.conflicts,
         *_batch_violations(fleet, load),
         *_stream_violations(load),
@@ -41,8 +55,19 @@
     ]
 
 
+def _plain_engines(fleet: Fleet) -> list[FleetEngine]:
+    return [
+        fleet.plain_engine,
+        *(one for one in fleet.more_engines if one.service == "plain"),
+    ]
+
+
 def _plain_call_violations(fleet: Fleet, load: LoadGenerator) -> Iterator[str]:
-    run_counts = collections.Counter(fleet.plain_engine.started_requests)
+    run_counts = collections.Counter(
+        request_id
+        for engine in _plain_engines(fleet)
+        for request_id in engine.started_requests
+    )
     for call in load.call_results:
         count = run_counts[call.request_id]
         if call.is_at_most_once and count > 1:
--- a/soak/load.py
+++ b/soak/load.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+import time
 from typing import NamedTuple
 
 import aiohttp
@@ -13,7 +14,9 @@
     batch_submission,
     results_path,
 )
+from shallotstand.standins.fleet_engine import LEAVING_HEADER, START_HEADER
 
+from soak.leaving import PassedAnswer
 from soak.streams import StreamClient
 
 _NO_ANSWER_ERRORS = (aiohttp.ClientError, OSError, TimeoutError)
@@ -45,6 +48,7 @@
       conflicts: Descriptions of reads that contradict an earlier response: a
         position with different content, or that is no longer readable.
       streams: The streams that were read.
+      passed_answers: Answers to plain calls, as the gateways passed them on.
     """
 
     def __init__(self, fleet: Fleet, seed: int):
@@ -59,6 +63,7 @@
         self.results_by_batch: dict[str, dict[int, dict]] = {}
         self.conflicts: list[str] = []
         self.streams: list[StreamClient] = []
+        self.passed_answers: list[PassedAnswer] = []
 
     async def send_plain_calls(self, deadline: float) -> None:
         """Sends plain calls, about half of which may run at most once."""
@@ -67,14 +72,37 @@
             is_at_most_once = self._rng.random() < 0.5
             request_id = f"r{next(self._id_counter)}"
             path = "/once/a" if is_at_most_once else "/plain/a"
-            status, body = await self._call_any_gateway(
-                "POST", path, request_id, request_id.encode()
-            )
+            status, body = await self._send_plain_call(path, request_id)
             self.call_results.append(
                 CallResult(request_id, is_at_most_once, status, body)
             )
             await asyncio.sleep(self._rng.uniform(0.01, 0.08))
 
+    async def _send_plain_call(
+        self, path: str, request_id: str
+    ) -> tuple[int, bytes]:
+        gateway: Machine = self._rng.choice(self._fleet.gateways)
+        sent_at = time.monotonic()
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                answer = await self._fleet.exchange(
+                    gateway, "POST", path, request_id, request_id.encode()
+                )
+        except _NO_ANSWER_ERRORS:
+            return 0, b""
+        self.passed_answers.append(
+            PassedAnswer(
+                request_id,
+                gateway.node,
+                answer.headers.get(START_HEADER, ""),
+                answer.headers.get(LEAVING_HEADER) == "1",
+                sent_at,
+                answer.answered_at,
+                answer.status,
+            )
+        )
+        return answer.status, answer.body
+
     async def read_streams(self, deadline: float) -> None:
         """Reads streams, one after another; each may be taken up again."""
         loop = asyncio.get_running_loop()
--- a/soak/run.py
+++ b/soak/run.py
@@ -8,9 +8,11 @@
 from typing import NamedTuple
 
 from shallotstand.standins.fleet import Fleet, Machine
+from shallotstand.standins.fleet_engine import FleetEngine
 from shallotstand.standins.proxy import Mode, Proxy
 
 from soak.checks import find_violations
+from soak.departures import let_engines_leave
 from soak.load import LoadGenerator
 from soak.schedule import Fault, FaultEvent, draw_faults
 from soak.streams import ENGINES_PER_VERSION, make_writers
@@ -62,7 +64,9 @@
     # One engine of each version breaks its streams off.
     for engine in writers[::ENGINES_PER_VERSION]:
         engine.events_until_break = EVENTS_UNTIL_BREAK
-    async with Fleet(directory, 3, checks_fences, writers) as fleet:
+    second_plain = FleetEngine("p2", pause_s=0.01, service="plain")
+    engines = (*writers, second_plain)
+    async with Fleet(directory, 3, checks_fences, engines) as fleet:
         injector = FaultInjector(fleet, seed)
         await injector.restart_behind_proxies()
         events = draw_faults(seed, faulty_s, len(injector.machines))
@@ -75,10 +79,17 @@
             for _ in range(STREAM_READERS):
                 group.create_task(load.read_streams(deadline))
             group.create_task(injector.publish_versions(deadline))
+            group.create_task(
+                let_engines_leave(
+                    fleet, [fleet.plain_engine, second_plain], seed, deadline
+                )
+            )
             for event in events:
                 group.create_task(injector.inject(event))
         await injector.await_recovery(load)
-        violations = find_violations(fleet, load, injector.resumed_at)
+        violations = find_violations(
+            fleet, load, injector.resumed_at, injector.interrupted_at
+        )
         injector.close()
     return Outcome(
         seed,
@@ -98,6 +109,8 @@
       machines: The machines whose processes are disturbed.
       resumed_at: Machines that were paused or whose link had a fault, with
         the monotonic time at which that ended.
+      interrupted_at: Machines whose process was paused or ended, with the
+        monotonic time.
     """
 
     def __init__(self, fleet: Fleet, seed: int):
@@ -106,6 +119,7 @@
         self._proxies: list[Proxy] = []
         self._active_outages = 0
         self.resumed_at: list[tuple[str, float]] = []
+        self.interrupted_at: list[tuple[str, float]] = []
         self.machines: list[Machine] = [*fleet.gateways, *fleet.keepers]
 
     async def restart_behind_proxies(self) -> None:
@@ -185,9 +199,14 @@
     def _record_resumption(self, target: int) -> None:
         self.resumed_at.append((self.machines[target].node, time.monotonic()))
 
+    def _record_interruption(self, target: int) -> None:
+        node = self.machines[target].node
+        self.interrupted_at.append((node, time.monotonic()))
+
     async def _signal_process(self, event: FaultEvent) -> None:
         if event.fault is Fault.PAUSE:
             process = self.machines[event.target].process
+            self._record_interruption(event.target)
             with contextlib.suppress(ProcessLookupError):
                 process.send_signal(signal.SIGSTOP)
                 await asyncio.sleep(event.duration_s)
@@ -204,6 +223,7 @@
     ) -> None:
         machine = self.machines[target]
         process = machine.process
+        self._record_interruption(target)
         with contextlib.suppress(ProcessLookupError):
             process.send_signal(signal.SIGCONT)
             process.send_signal(signal_number)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from shallotstand.standins.fleet_engine import FleetEngine
 
 from soak.checks import find_violations
+from soak.leaving import PassedAnswer
 from soak.load import (
     ITEMS_PER_BATCH,
     VISIBILITY_BOUND_S,
@@ -49,6 +50,7 @@
     return types.SimpleNamespace(
         plain_engine=FleetEngine("p1"),
         engines=[FleetEngine("e1"), FleetEngine("e2")],
+        more_engines=(),
         platform=types.SimpleNamespace(
             reports=[(1, {"a": 1}, "k1", 1), (2, {}, "k2", 2)],
             duty_calls=DutyCallLog(checks_fences=False),
@@ -99,6 +101,24 @@
     load.results_by_batch["b1"][0].update(fields)
 
 
+def _plant_late_request(fleet, load):
+    """A request that came 2.1 s after an answer that says leaving."""
+    start = fleet.plain_engine.start_name
+    fleet.plain_engine.requests_by_start[start] = {"told", "late"}
+    load.passed_answers += [
+        PassedAnswer("told", "gateway-0", start, True, 9.9, 10.0, 200),
+        PassedAnswer("late", "gateway-0", start, False, 12.1, 12.2, 200),
+    ]
+
+
+def test_request_to_a_leaving_engine_may_be_excused(fleet, load):
+    _plant_late_request(fleet, load)
+    restarted = [("gateway-0", 11.0)]
+    assert find_violations(fleet, load, [], restarted) == []
+    for other in (("gateway-1", 11.0), ("gateway-0", 9.95)):
+        assert len(find_violations(fleet, load, [], [other])) == 1
+
+
 def _plant_stream(load, *events):
     client = StreamClient(None, "s1", None)
     client.events = list(events)
@@ -160,6 +180,7 @@
             "two holders",
         ),
         (lambda _, load: load.conflicts.append("position 1"), "position 1"),
+        (_plant_late_request, "knew that it leaves"),
         (
             lambda f, _: plant_calls(f, (0.0, "k1", 2), (9.0, "k2", 1)),
             "arrived after fencing token 2",
