--- a/apps/standins/src/shallotstand/standins/endless_http.py
+++ b/apps/standins/src/shallotstand/standins/endless_http.py
@@ -3,6 +3,13 @@
 import asyncio
 import enum
 
+# The head of a response to the request `r1`, up to its other headers.
+_HEAD = (
+    b"HTTP/1.1 200 OK\r\n"
+    b"X-Shallotstand-Attempt-Id: r1\r\n"
+    b"X-Shallotstand-Server-Seal: seal\r\n"
+)
+
 
 class EndlessPart(enum.Enum):
     """The part of a response that goes on until the client closes.
@@ -11,33 +18,33 @@
     """
 
     STATUS_LINE = (b"HTTP/1.1 200 ", b"a" * 1024)
-    HEADER = (b"HTTP/1.1 200 OK\r\nX-Own: ", b"a" * 1024)
-    HEADERS = (b"HTTP/1.1 200 OK\r\n", b"X-Own: 1\r\n" * 100)
+    HEADER = (_HEAD + b"X-Own: ", b"a" * 1024)
+    HEADERS = (_HEAD, b"X-Own: 1\r\n" * 100)
     INFORMATIONAL = (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 10)
     CHUNKED_BODY = (
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        _HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
         b"10000\r\n" + b"a" * 65536 + b"\r\n",
     )
-    UNFRAMED_BODY = (b"HTTP/1.1 200 OK\r\n\r\n", b"a" * 65536)
+    UNFRAMED_BODY = (_HEAD + b"\r\n", b"a" * 65536)
     CHUNK_EXTENSION = (
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+        _HEAD + b"Transfer-Encoding: chunked\r\n\r\n1;",
         b"a" * 1024,
     )
     EVENT = (
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        _HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
         b"10000\r\n" + b"data: a\n" * 8192 + b"\r\n",
     )
     TRAILER = (
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        _HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n",
         b"X-Own: 1\r\n" * 100,
     )
     BEYOND_LENGTH = (
-        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+        _HEAD + b"Content-Length: 2\r\n\r\n{}",
         b"a" * 1024,
     )
 
 
-_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+_ANSWER = _HEAD + b"Content-Length: 2\r\n\r\n{}"
 
 
 class UnrequestedBytes(enum.Enum):
@@ -54,7 +61,7 @@
     RESPONSES_WITHOUT_BODY = (_ANSWER, b"HTTP/1.1 204 No\r\n\r\n" * 900)
     CHUNKED_RESPONSES = (
         _ANSWER,
-        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" * 300,
+        _HEAD + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" * 300,
     )
     INFORMATIONAL = (_ANSWER, b"HTTP/1.1 102 Processing\r\n\r\n" * 700)
     PART_OF_A_HEAD = (_ANSWER, b"HTTP/1.1 200 OK\r\nX-Own: " + b"a" * 4096)
--- a/apps/standins/src/shallotstand/standins/fleet_engine.py
+++ b/apps/standins/src/shallotstand/standins/fleet_engine.py
@@ -213,6 +213,7 @@
             headers={
                 **limit_headers,
                 _ATTEMPT_ID_HEADER: request_id,
+                _SEAL_HEADER: f"seal-{request_id}",
                 _VERSIONS_HEADER: str(self.version),
             }
         )
--- a/tests/adapter/test_engine_reports.py
+++ b/tests/adapter/test_engine_reports.py
@@ -17,6 +17,7 @@
 
 from .conftest import make_client
 
+OWN = {"X_Shallotstand_Attempt_Id": "r1", "X_Shallotstand_Server_Seal": "seal"}
 BAD_ANSWER = ResultCode.ENDPOINT_BAD_ANSWER
 
 REQUEST = EndpointRequest(
@@ -161,3 +162,57 @@
         await server.stop()
 
     asyncio.run(asyncio.wait_for(scenario(), 10))
+
+
+def read_limits(*heads):
+    """Returns what is recorded of responses with these heads, and counts."""
+    recorded, counted = [], []
+
+    class Recorder:
+        def record_response(self, endpoint_id, requests_per_s, sent_at):
+            assert sent_at <= SystemClock().monotonic()
+            recorded.append((endpoint_id, requests_per_s))
+
+    replies = iter(heads)
+
+    async def run_with_server():
+        server = ScriptedServer(lambda _: Reply((next(replies),)))
+        engine = make_endpoint("e1", address=await server.start())
+        client = make_client(Recorder(), lambda *call: counted.append(call))
+        for _ in heads:
+            await client.send_request(engine, REQUEST, 0.5)
+        await client.close()
+        await server.stop()
+
+    asyncio.run(asyncio.wait_for(run_with_server(), 10))
+    return recorded, counted
+
+
+def test_limits_are_read_from_responses_and_refusals():
+    # Guards against a limit that goes unread where an engine in need refuses.
+    recorded, counted = read_limits(
+        encode_response("200 OK", Server_Limit="2.5", **OWN),
+        encode_response(
+            "503 Full", X_Shallotstand_Not_Executed="1", Server_Limit="0"
+        ),
+        encode_response("200 OK", **OWN),
+    )
+    assert recorded == [("e1", 2.5), ("e1", 0.0), ("e1", None)]
+    assert counted == [
+        ("e1", "answered"),
+        ("e1", "refused"),
+        ("e1", "answered"),
+    ]
+
+
+def test_limit_that_is_malformed_or_of_another_engine_is_passed_over():
+    # Guards against a limit that ends, or is without bound, by a bad value.
+    heads = [
+        encode_response("200 OK", Server_Limit=text, **OWN)
+        for text in ("", "-1", "nan", "inf", "1e3", "1_0", "2,5", "soon")
+    ]
+    heads.append(encode_response("421 Other", Server_Limit="3"))
+    other = {**OWN, "X_Shallotstand_Attempt_Id": "r0"}
+    heads.append(encode_response("200 OK", Server_Limit="3", **other))
+    heads.append(encode_response("200 OK", **other))
+    assert read_limits(*heads)[0] == []
--- a/tests/adapter/test_engines.py
+++ b/tests/adapter/test_engines.py
@@ -19,6 +19,12 @@
 
 REQUEST_ID_HEADER = "X-Shallotstand-Attempt-Id"
 SIGNATURE_HEADER = "X-Shallotstand-Server-Seal"
+# Headers of a response to the request `r1`.
+OWN = {"X_Shallotstand_Attempt_Id": "r1", "X_Shallotstand_Server_Seal": "seal"}
+OWN_LINES = f"{REQUEST_ID_HEADER}: r1\r\n{SIGNATURE_HEADER}: seal\r\n".encode()
+UNFRAMED_HEAD = (
+    b"HTTP/1.1 200 OK\r\n" + OWN_LINES + b"Connection: close\r\n\r\n"
+)
 
 
 def make_request(request_id="r1", is_repeatable=True, **fields):
@@ -116,16 +122,16 @@
         (Reply((), close=True), ResultCode.ANSWER_CUT),
         (Reply((b"no HTTP at all\r\n\r\n",)), ResultCode.ANSWER_CUT),
         (
-            Reply((encode_response("200 OK", b"cut")[:-1],), close=True),
+            Reply((encode_response("200 OK", b"cut", **OWN)[:-1],), close=True),
             ResultCode.ANSWER_CUT,
         ),
         (
-            Reply((b"HTTP/1.1 200 OK\r\n\r\npart",), reset=True),
+            Reply((UNFRAMED_HEAD + b"part",), reset=True),
             ResultCode.ANSWER_CUT,
         ),
         (Reply((1.0,)), ResultCode.ENDPOINT_TIMEOUT),
         (
-            Reply((encode_response("200 OK", b"x", Content_Encoding="gzip"),)),
+            Reply((encode_response("200 OK", Content_Encoding="gzip", **OWN),)),
             ResultCode.ENDPOINT_BAD_ANSWER,
         ),
         (
@@ -148,9 +154,8 @@
 
 
 def test_response_without_a_length_ends_with_its_connection():
-    head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
     outcome, _ = send_single_request(
-        lambda _: Reply((head + b"all ", 0.05, b"of it"), close=True)
+        lambda _: Reply((UNFRAMED_HEAD + b"all ", 0.05, b"of it"), close=True)
     )
     assert outcome.body == b"all of it"
 
@@ -162,9 +167,10 @@
         stream = await client.open_stream(engine, make_request(), 0.5)
         received.extend([event async for event in stream.events()])
 
-    head = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
     run_scenario(
-        lambda _: Reply((head, 0.05, b"id: 1\ndata: a\n\n", 0.05), reset=True),
+        lambda _: Reply(
+            (UNFRAMED_HEAD, 0.05, b"id: 1\ndata: a\n\n", 0.05), reset=True
+        ),
         scenario,
     )
     assert received[0].number == 1
@@ -226,7 +232,7 @@
 
 def stream_head(**headers):
     return encode_response(
-        "200 OK", X_Shallotstand_Weight_Versions="4", **headers
+        "200 OK", X_Shallotstand_Weight_Versions="4", **{**OWN, **headers}
     ).replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
 
 
@@ -388,64 +394,10 @@
     run_scenario(lambda r: Reply((make_response(r),)), scenario)
 
 
-def read_limits(*heads):
-    """Returns what is recorded of responses with these heads, and counts."""
-    recorded, counted = [], []
-
-    class Recorder:
-        def record_response(self, endpoint_id, requests_per_s, sent_at):
-            assert sent_at <= SystemClock().monotonic()
-            recorded.append((endpoint_id, requests_per_s))
-
-    replies = iter(heads)
-
-    async def run_with_server():
-        server = ScriptedServer(lambda _: Reply((next(replies),)))
-        engine = make_endpoint("e1", address=await server.start())
-        client = make_client(Recorder(), lambda *call: counted.append(call))
-        for _ in heads:
-            await client.send_request(engine, make_request(), 0.5)
-        await client.close()
-        await server.stop()
-
-    asyncio.run(asyncio.wait_for(run_with_server(), 10))
-    return recorded, counted
-
-
-def test_limits_are_read_from_responses_and_refusals():
-    # Guards against a limit that goes unread where an engine in need refuses.
-    recorded, counted = read_limits(
-        encode_response("200 OK", Server_Limit="2.5"),
-        encode_response(
-            "503 Full", X_Shallotstand_Not_Executed="1", Server_Limit="0"
-        ),
-        encode_response("200 OK"),
-    )
-    assert recorded == [("e1", 2.5), ("e1", 0.0), ("e1", None)]
-    assert counted == [
-        ("e1", "answered"),
-        ("e1", "refused"),
-        ("e1", "answered"),
-    ]
-
-
-def test_limit_that_is_malformed_or_of_another_engine_is_passed_over():
-    # Guards against a limit that ends, or is without bound, by a bad value.
-    heads = [
-        encode_response("200 OK", Server_Limit=text)
-        for text in ("", "-1", "nan", "inf", "1e3", "1_0", "2,5", "soon")
-    ]
-    heads.append(encode_response("421 Other", Server_Limit="3"))
-    heads.append(encode_response("200 OK", X_Shallotstand_Attempt_Id="r0"))
-    assert read_limits(*heads)[0] == []
-
-
 HEADS = {
-    "whole": encode_response(
-        "200 OK", b"whole", X_Shallotstand_Server_Seal="seal"
-    ),
-    "chunked": stream_head(X_Shallotstand_Server_Seal="seal"),
-    "unframed": b"HTTP/1.1 200 OK\r\nX-Own: 1\r\nConnection: close\r\n\r\n",
+    "whole": encode_response("200 OK", b"whole", **OWN),
+    "chunked": stream_head(),
+    "unframed": UNFRAMED_HEAD,
 }
 
 
@@ -482,8 +434,8 @@
             outcomes.append(await stream.read_body())
             stream.close()
 
-    response = encode_response("500 Error", b"error")
-    unframed = b"HTTP/1.1 500 Error\r\nConnection: close\r\n\r\nerr"
+    response = encode_response("500 Error", b"error", **OWN)
+    unframed = UNFRAMED_HEAD.replace(b"200 OK", b"500 Error") + b"err"
     replies = iter(
         [
             Reply((response,)),
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -71,10 +71,11 @@
 
         async def call(name):
             started = time.monotonic()
-            status, _ = await fleet.call(
+            status, body = await fleet.call(
                 gateway, "POST", "/plain/a", name, name.encode()
             )
-            return status, time.monotonic() - started
+            is_own = body == name.encode()
+            return status, is_own, time.monotonic() - started
 
         tasks = []
         for clump in range(CLUMPS):
@@ -85,8 +86,8 @@
             await asyncio.sleep(CLUMP_INTERVAL_S)
             most_bytes = max(most_bytes, process.memory_info().rss)
         answers = await asyncio.gather(*tasks)
-        assert {status for status, _ in answers} == {200}
-        assert max(took_s for _, took_s in answers) < ANSWERED_WITHIN_S
+        assert {answer[:2] for answer in answers} == {(200, True)}
+        assert max(took_s for _, _, took_s in answers) < ANSWERED_WITHIN_S
         assert most_bytes < MAX_MEMORY_BYTES
         assert server.received
         await server.stop()
