Serve evacuated zones, cold endpoints and requests limited to regions

Nothing read the operator's evacuations, the cold state of entries, or the regions of routes and accounts.

- Evacuations are watched where the settings state their bound.
The registry leaves the zone's endpoints out of what every sender goes by.
Endpoints of a zone that is in use again count as cold for 3 s, as their entries may not say so yet.
Where nothing else serves, requests are refused at once.
- A cold endpoint has a limit like one that states it, but with a tighter bound: three gateways have a third of its rate each and save up one request, R + 3 requests in any second, where 1.5 R + 5 are allowed.
The share does not depend on who else is known to compete, and a gateway that fewer than half of its peers reach sends nothing to cold endpoints.
- After a failure a single request tries an endpoint that may be cold, as it may have started again before its new entry arrives.
- Regions of a route and of the client account both limit where requests, their retries, streams, items and scoring requests run.

Tests: libs/dispatch test_cold_endpoints.py (many gateways, restarts, cuts, without a network) and test_zone_limits.py, tests/test_evacuations.py with real gateways. The simulated gateways of test_request_shares.py move to the stand-ins unchanged but for the cold rate.

--- a/apps/gateway/src/shallotstand/gateway/batching.py
+++ b/apps/gateway/src/shallotstand/gateway/batching.py
@@ -89,6 +89,9 @@
         serving.endpoint_registry.set_peer_states_source(
             self.mesh.states_by_endpoint
         )
+        serving.endpoint_registry.request_shares.set_isolation_source(
+            lambda: self.mesh.is_isolated
+        )
         serving.endpoint_registry.request_shares.subscribe(
             self.mesh.announce_change
         )
--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -6,7 +6,10 @@
 from absl import logging
 from shallotstand.adapter import decode, wire_names
 from shallotstand.adapter.boot import BootSettings
-from shallotstand.adapter.following import receive_endpoint_change
+from shallotstand.adapter.following import (
+    receive_endpoint_change,
+    receive_evacuation_change,
+)
 from shallotstand.adapter.http_frontend import (
     HttpFrontend,
     HttpFrontendDependencies,
@@ -145,6 +148,12 @@
                 watch_timeout_s=REGISTRY_WATCH_TIMEOUT_S,
             ),
         )
+        if boot.has_evacuations:
+            self._watchers += (
+                self._make_watcher(
+                    wire_names.EVACUATIONS_KIND, self._receive_evacuation_change
+                ),
+            )
         for watcher in self._watchers[1:]:
             self._config_watcher.subscribe(watcher.restart_watch)
         self._frontend_server = None
@@ -192,6 +201,8 @@
         """
         await self._config_watcher.wait_synced()
         await self._endpoint_watcher.wait_synced()
+        if self._boot.has_evacuations:
+            await self._watchers[-1].wait_synced()
         await self._crash_sharing.load()
         self._frontend_server = await _listen(
             self._frontend.make_app(), self._boot.caller_address
@@ -306,6 +317,9 @@
         self._serving.request_handler.update_configuration(configuration)
         self._frontend.limit_bodies(configuration.limits.max_body_bytes)
 
+    def _receive_evacuation_change(self, change: Change) -> None:
+        receive_evacuation_change(self._serving.endpoint_registry, change)
+
     def _receive_endpoint_change(self, change: Change) -> None:
         receive_endpoint_change(
             self._serving.endpoint_registry,
--- a/apps/gateway/src/shallotstand/gateway/serving.py
+++ b/apps/gateway/src/shallotstand/gateway/serving.py
@@ -49,7 +49,9 @@
           count_request: Counts a request by endpoint and outcome.
           clock: Source of time.
         """
-        self.endpoint_registry = EndpointRegistry(boot.zone, clock, process_id)
+        self.endpoint_registry = EndpointRegistry(
+            boot.zone, clock, process_id, boot.region_by_zone
+        )
         self.client = HttpEndpointClient(
             self.endpoint_registry, clock, count_request
         )
--- a/apps/standins/src/shallotstand/standins/fleet.py
+++ b/apps/standins/src/shallotstand/standins/fleet.py
@@ -35,6 +35,10 @@
 status_ttl_s = 120
 report_window_s = {window}
 lease_ms = {turn_interval_ms}
+evacuate_ms = 5000
+[zones]
+zone-a = "north"
+zone-b = "south"
 [platform]
 address = "{platform}"
 [cloud]
--- a/apps/standins/src/shallotstand/standins/request_limit.py
+++ b/apps/standins/src/shallotstand/standins/request_limit.py
@@ -46,6 +46,17 @@
         """Returns the number of requests that arrived since a moment."""
         return sum(arrival.at >= since for arrival in self._arrivals)
 
+    def busiest_second(self, since: float = 0.0) -> int:
+        """Returns the most requests that arrived within a second."""
+        arrivals = [one.at for one in self._arrivals if one.at >= since]
+        return max(
+            (
+                sum(start <= at < start + 1.0 for at in arrivals)
+                for start in arrivals
+            ),
+            default=0,
+        )
+
     def violations(
         self, is_excused: Callable[[str], bool] = lambda _: False
     ) -> list[str]:
--- a/libs/batches/src/shallotstand/batches/item_run.py
+++ b/libs/batches/src/shallotstand/batches/item_run.py
@@ -234,7 +234,7 @@
         software_versions = {
             endpoint.software_version
             for endpoint in self._dependencies.endpoint_registry.active(
-                request.service
+                request.service, request.allowed_regions
             )
         }
         if software_versions - {request.software_version}:
@@ -447,11 +447,14 @@
     async def _wait_for_route(self) -> Route:
         """Waits until the configuration has the item's route."""
         while True:
-            route = self._dependencies.configuration().match_route(
+            configuration = self._dependencies.configuration()
+            route = configuration.match_route(
                 self._submission.host, self._item.target
             )
             if not isinstance(route, Failure):
-                return route
+                return route.for_account(
+                    configuration.accounts_by_name.get(self._submission.account)
+                )
             await asyncio.sleep(ROUTE_RETRY_DELAY_S)
 
     def _resource_request(self, route: Route) -> ResourceRequest:
@@ -462,6 +465,7 @@
             self._rank,
             self._avoided_endpoint_id,
             self.progress.software_version if self.progress.events else None,
+            route.allowed_regions,
         )
 
     def _endpoint_request(self, event_count: int) -> EndpointRequest:
--- a/libs/batches/tests/test_item_run.py
+++ b/libs/batches/tests/test_item_run.py
@@ -9,7 +9,7 @@
 from shallotstand.batches.item_run import ItemRun
 from shallotstand.batches.progress import Progress
 from shallotstand.batches.records import ResultState
-from shallotstand.dispatch import endpoints
+from shallotstand.dispatch import endpoint_health
 from shallotstand.dispatch.endpoint_client import EndpointResponse, StreamEvent
 from shallotstand.standins.memory_engines import (
     ANSWER_CUT,
@@ -170,8 +170,8 @@
 
 @pytest.fixture
 def short_backoff(monkeypatch):
-    monkeypatch.setattr(endpoints, "INITIAL_FAILURE_BACKOFF_S", 0.01)
-    monkeypatch.setattr(endpoints, "MAX_FAILURE_BACKOFF_S", 0.02)
+    monkeypatch.setattr(endpoint_health, "INITIAL_FAILURE_BACKOFF_S", 0.01)
+    monkeypatch.setattr(endpoint_health, "MAX_FAILURE_BACKOFF_S", 0.02)
 
 
 def test_item_under_which_engines_crashed_is_still_placed(
--- a/libs/dispatch/src/shallotstand/dispatch/config.py
+++ b/libs/dispatch/src/shallotstand/dispatch/config.py
@@ -48,6 +48,8 @@
         without a result are lost.
       is_single_version: For batches: whether each text must be generated
         entirely with one version of the weights.
+      allowed_regions: Regions whose endpoints may run its requests; None if
+        any may.
     """
 
     name: str
@@ -64,6 +66,16 @@
     results_due_s: float
     item_ttl_s: float
     is_single_version: bool
+    allowed_regions: frozenset[str] | None = None
+
+    def for_account(self, account: "ClientAccount | None") -> "Route":
+        """Returns the route with the regions that an account allows, too."""
+        if account is None or account.allowed_regions is None:
+            return self
+        regions = account.allowed_regions
+        if self.allowed_regions is not None:
+            regions = regions & self.allowed_regions
+        return self._replace(allowed_regions=regions)
 
     @property
     def is_repeatable(self) -> bool:
@@ -74,11 +86,20 @@
 
 
 class ClientAccount(NamedTuple):
-    """A client account with its currently valid API keys."""
+    """A client account with its currently valid API keys.
+
+    Attributes:
+      name: Its name.
+      keys: Its API keys.
+      priority: Priority of its requests; None if that of the route holds.
+      allowed_regions: Regions whose endpoints may run its requests; None if
+        any may.
+    """
 
     name: str
     keys: frozenset[str]
     priority: int | None
+    allowed_regions: frozenset[str] | None = None
 
 
 class Limits(NamedTuple):
@@ -99,6 +120,9 @@
       routes_by_host: Routes of each host, the longest path prefix first.
       account_by_key: Client account of each valid API key.
       accounts_by_name: All client accounts.
+      cold_rate_by_service: Requests per second that a cold endpoint accepts
+        from all processes together, of the services whose endpoints can be
+        cold.
     """
 
     version: int
@@ -106,6 +130,7 @@
     routes_by_host: dict[str, tuple[Route, ...]]
     account_by_key: dict[str, ClientAccount]
     accounts_by_name: dict[str, ClientAccount]
+    cold_rate_by_service: dict[str, float]
 
     @classmethod
     def from_parts(
@@ -114,6 +139,7 @@
         limits: Limits,
         routes: Iterable[Route],
         accounts: Iterable[ClientAccount],
+        cold_rate_by_service: dict[str, float] | None = None,
     ) -> "Configuration":
         """Builds a configuration and its lookup tables."""
         accounts_by_name = {account.name: account for account in accounts}
@@ -135,6 +161,7 @@
                 for key in account.keys
             },
             accounts_by_name,
+            cold_rate_by_service or {},
         )
 
     def match_route(self, host: str, path: str) -> Route | Failure:
--- a/libs/dispatch/src/shallotstand/dispatch/endpoint.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoint.py
@@ -18,6 +18,8 @@
       version_by_model: Weight version of each model that it serves.
       software_version: Version of its software. What endpoints of different
         versions generate does not fit together.
+      cold_remaining_s: Seconds for which it is still cold, counted from the
+        moment at which it wrote its entry; 0 if it is warm.
     """
 
     id: str
@@ -29,3 +31,9 @@
     started_ms: int
     version_by_model: dict[str, int]
     software_version: str = ""
+    cold_remaining_s: float = 0.0
+
+    @property
+    def identity(self) -> "Endpoint":
+        """The endpoint without what it changes in its entry all the time."""
+        return self._replace(version_by_model={}, cold_remaining_s=0.0)
--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -2,11 +2,13 @@
 
 import collections
 import itertools
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
+from types import MappingProxyType
 
 from absl import logging
 from shallotstand.core import logs
 from shallotstand.core.clock import Clock
+from shallotstand.dispatch.cold_endpoints import ColdEndpoints
 from shallotstand.dispatch.endpoint import Endpoint
 from shallotstand.dispatch.endpoint_health import EndpointHealth
 from shallotstand.dispatch.endpoint_state import EndpointState
@@ -17,29 +19,14 @@
     QueueRanking,
 )
 from shallotstand.dispatch.request_shares import PeerShares, RequestShares
+from shallotstand.dispatch.zone_limits import ZoneLimits
 
 # Time after an outage of the store for which endpoints with an expired
 # registration stay in use. They register again within about two seconds, and
 # the watch reports this a little later.
 EXPIRY_GRACE_S = 2.3
-# Backoff of an endpoint after a failure; doubles with each consecutive failure,
-# up to the few seconds in which a crashed engine restarts.
-INITIAL_FAILURE_BACKOFF_S = 0.4
-MAX_FAILURE_BACKOFF_S = 3.0
-# Backoff of an endpoint for one model after a refusal; doubles with each
-# consecutive refusal. It is short because a slot soon becomes free, and because
-# an engine that loads weights refuses the model for only about a second.
-INITIAL_REFUSAL_BACKOFF_S = 0.1
-MAX_REFUSAL_BACKOFF_S = 0.25
-# Weight of the newest measurement in the moving average of an endpoint's
-# seconds per unit.
-SECONDS_PER_UNIT_SMOOTHING = 0.3
 # A local measurement older than this is replaced by a peer's, if there is one.
 MEASUREMENT_MAX_AGE_S = 1.0
-# Weight of the newest outcome in the moving average of an endpoint's failure
-# rate, and the time in which the rate halves if there is no new outcome.
-FAILURE_RATE_SMOOTHING = 0.2
-FAILURE_RATE_HALF_LIFE_S = 4.0
 
 _QUEUE_RANKING = QueueRanking()
 
@@ -53,15 +40,23 @@
       by_id: Every registered endpoint by its identifier.
       request_shares: This process's shares of the limits that endpoints state.
       leaving: What endpoints say in their responses of leaving.
+      cold: The endpoints that are cold.
     """
 
-    def __init__(self, zone: str, clock: Clock, process_id: str = ""):
+    def __init__(
+        self,
+        zone: str,
+        clock: Clock,
+        process_id: str = "",
+        region_by_zone: Mapping[str, str] = MappingProxyType({}),
+    ):
         """Creates an empty registry.
 
         Args:
           zone: Availability zone of this process.
           clock: Source of time.
           process_id: Identifier that tells this process from its peers.
+          region_by_zone: Region of each availability zone.
         """
         self._zone = zone
         self._clock = clock
@@ -73,7 +68,11 @@
         self._fetch_peer_states: Callable[[], dict[str, EndpointState]] = dict
         self.by_id: dict[str, Endpoint] = {}
         self.leaving = LeavingEndpoints(clock)
-        self.request_shares = RequestShares(process_id, clock)
+        self.cold = ColdEndpoints(clock)
+        self._zone_limits = ZoneLimits(region_by_zone)
+        self.request_shares = RequestShares(
+            process_id, clock, self.cold.requests_per_s
+        )
         self.request_shares.set_peer_shares_source(self._peer_shares)
 
     def set_peer_states_source(
@@ -115,9 +114,8 @@
             if previous is not None:
                 self.request_shares.record_start(endpoint.id)
         self.by_id[endpoint.id] = endpoint
-        if previous is None or previous._replace(
-            version_by_model={}
-        ) != endpoint._replace(version_by_model={}):
+        self.cold.record_entry(endpoint)
+        if previous is None or previous.identity != endpoint.identity:
             logs.event(
                 logging.INFO,
                 "Endpoint listed",
@@ -146,6 +144,22 @@
             return
         self._delete(endpoint_id)
 
+    def begin_evacuation(self, zone: str) -> None:
+        """Sends nothing more to the endpoints of a zone."""
+        self._zone_limits.begin_evacuation(zone)
+
+    def end_evacuation(self, zone: str) -> None:
+        """Lets the endpoints of a zone get requests again, a few at first."""
+        for endpoint in self.by_id.values():
+            if endpoint.zone == zone:
+                self.cold.assume(endpoint)
+        self._zone_limits.end_evacuation(zone)
+        self._notify()
+
+    def is_evacuated(self, endpoint: Endpoint) -> bool:
+        """Returns whether nothing may be sent to an endpoint."""
+        return self._zone_limits.is_evacuated(endpoint)
+
     def candidates(
         self,
         service: str,
@@ -154,6 +168,7 @@
         ranking: EndpointRanking = _QUEUE_RANKING,
         waiting: int = 1,
         is_usable: Callable[[Endpoint], bool] = lambda _: True,
+        regions: frozenset[str] | None = None,
     ) -> list[Endpoint]:
         """Returns the available endpoints of a service, the cheapest first.
 
@@ -167,12 +182,13 @@
             these are left out.
           is_usable: Whether an endpoint can run the request at all; this
             process does not compete for others.
+          regions: Regions that may run the request; None if any may.
         """
         mean_seconds_per_unit = self._mean_seconds_per_unit()
         return sorted(
             (
                 endpoint
-                for endpoint in self.active(service)
+                for endpoint in self.active(service, regions)
                 if endpoint.id not in excluded
                 and self.is_available(endpoint.id, model)
                 and is_usable(endpoint)
@@ -183,9 +199,11 @@
             ),
         )
 
-    def has_endpoints(self, service: str) -> bool:
+    def has_endpoints(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> bool:
         """Returns whether the service has endpoints that accept requests."""
-        return bool(self.active(service))
+        return bool(self.active(service, regions))
 
     def free_slots(self, endpoint: Endpoint) -> int:
         """Returns how many slots neither this process nor its peers use."""
@@ -193,10 +211,9 @@
 
     def is_available(self, endpoint_id: str, model: str = "") -> bool:
         """Returns whether the endpoint is not in a backoff."""
-        health = self._health_by_id[endpoint_id]
-        refused_until = health.backoff_until_by_model.get(model, 0.0)
-        now = self._clock.monotonic()
-        return max(health.backoff_until, refused_until) <= now
+        return self._health_by_id[endpoint_id].is_available(
+            model, self._clock.monotonic()
+        )
 
     def next_retry_in_s(self, service: str) -> float | None:
         """Returns the seconds until an endpoint may be tried again.
@@ -225,7 +242,9 @@
             default=None,
         )
 
-    def limit_wait_s(self, services: Iterable[str]) -> float:
+    def limit_wait_s(
+        self, services: Iterable[str], regions: frozenset[str] | None = None
+    ) -> float:
         """Returns the seconds until an endpoint's limit allows a request.
 
         Returns:
@@ -236,7 +255,7 @@
             (
                 self.request_shares.seconds_until_request(endpoint.id)
                 for service in services
-                for endpoint in self.active(service)
+                for endpoint in self.active(service, regions)
             ),
             default=0.0,
         )
@@ -252,9 +271,9 @@
 
     def failure_rate(self, endpoint_id: str) -> float:
         """Returns the recent share of failed requests on an endpoint."""
-        health = self._health_by_id[endpoint_id]
-        age_s = self._clock.monotonic() - health.failure_rate_updated_at
-        return health.failure_rate * 0.5 ** (age_s / FAILURE_RATE_HALF_LIFE_S)
+        return self._health_by_id[endpoint_id].current_failure_rate(
+            self._clock.monotonic()
+        )
 
     def model_version(self, endpoint: Endpoint, model: str) -> int:
         """Returns the newest known version of a model on an endpoint."""
@@ -308,15 +327,18 @@
         """Records that a request is sent to an endpoint.
 
         After a refusal, a single request probes the endpoint. Other requests
-        wait until the endpoint accepts the probe or a new backoff ends.
+        wait until the endpoint accepts the probe or a new backoff ends. Where
+        endpoints can be cold, the same holds after a failure: it may have
+        started again, and its entry may not say so yet.
         """
         self.request_shares.record_send(endpoint.id)
         health = self._health_by_id[endpoint.id]
         health.in_flight += 1
-        if health.consecutive_refusals_by_model[model]:
-            health.backoff_until_by_model[model] = (
-                self._clock.monotonic() + MAX_REFUSAL_BACKOFF_S
-            )
+        health.begin_probe(
+            model,
+            self.cold.has_rate(endpoint.service),
+            self._clock.monotonic(),
+        )
 
     def record_request_end(self, endpoint: Endpoint) -> None:
         """Records that a request to an endpoint has ended."""
@@ -340,37 +362,21 @@
           seconds_per_unit: Measured seconds per unit of work; the unit is the
             same within a service.
         """
-        health = self._health_by_id[endpoint.id]
-        health.consecutive_failures = 0
-        health.backoff_until = 0.0
-        health.last_success_at = self._clock.monotonic()
-        average = (
-            seconds_per_unit
-            if health.seconds_per_unit is None
-            else health.seconds_per_unit
-        )
-        health.seconds_per_unit = average + SECONDS_PER_UNIT_SMOOTHING * (
-            seconds_per_unit - average
+        self._health_by_id[endpoint.id].record_success(
+            seconds_per_unit, self._clock.monotonic()
         )
-        health.measured_at = health.last_success_at
 
     def record_event(self, endpoint: Endpoint) -> None:
         """Records an event of a stream, which ends a backoff like a success."""
-        health = self._health_by_id[endpoint.id]
-        health.consecutive_failures = 0
-        health.backoff_until = 0.0
-        health.last_success_at = self._clock.monotonic()
+        self._health_by_id[endpoint.id].record_event(self._clock.monotonic())
 
     def record_outcome(self, endpoint: Endpoint, has_failed: bool) -> None:
         """Updates the failure rate with the outcome of a request.
 
         Not called for refusals.
         """
-        health = self._health_by_id[endpoint.id]
-        previous = self.failure_rate(endpoint.id)
-        health.failure_rate_updated_at = self._clock.monotonic()
-        health.failure_rate = previous + FAILURE_RATE_SMOOTHING * (
-            float(has_failed) - previous
+        self._health_by_id[endpoint.id].record_outcome(
+            has_failed, self._clock.monotonic()
         )
 
     def record_model_version(
@@ -381,15 +387,8 @@
 
     def record_refusal(self, endpoint: Endpoint, model: str = "") -> None:
         """Records that an endpoint refused a request without running it."""
-        health = self._health_by_id[endpoint.id]
-        consecutive_refusals = health.consecutive_refusals_by_model[model]
-        backoff_s = min(
-            MAX_REFUSAL_BACKOFF_S,
-            INITIAL_REFUSAL_BACKOFF_S * 2**consecutive_refusals,
-        )
-        health.consecutive_refusals_by_model[model] += 1
-        health.backoff_until_by_model[model] = (
-            self._clock.monotonic() + backoff_s
+        self._health_by_id[endpoint.id].record_refusal(
+            model, self._clock.monotonic()
         )
 
     def record_failure(
@@ -406,12 +405,7 @@
         health = self._health_by_id[endpoint.id]
         if health.last_success_at >= started_at:
             return
-        backoff_s = min(
-            MAX_FAILURE_BACKOFF_S,
-            INITIAL_FAILURE_BACKOFF_S * 2**health.consecutive_failures,
-        )
-        health.consecutive_failures += 1
-        health.backoff_until = self._clock.monotonic() + backoff_s
+        backoff_s = health.record_failure(self._clock.monotonic())
         logs.event(
             logging.INFO,
             "Endpoint suspected",
@@ -421,16 +415,24 @@
             pause_s=backoff_s,
         )
 
-    def active(self, service: str) -> list[Endpoint]:
+    def active(
+        self, service: str, regions: frozenset[str] | None = None
+    ) -> list[Endpoint]:
         """Returns the endpoints of a service that accept new requests.
 
         If all of them have just said that they leave, these are returned.
+
+        Args:
+          service: The service.
+          regions: Regions that may run the requests; None if any may.
         """
         self._delete_expired()
         listed = [
             endpoint
             for endpoint in self.by_id.values()
-            if endpoint.service == service and not endpoint.is_leaving
+            if endpoint.service == service
+            and not endpoint.is_leaving
+            and self._zone_limits.allows(endpoint, regions)
         ]
         return [
             endpoint
@@ -456,6 +458,7 @@
         if not self._health_by_id[endpoint_id].in_flight:
             self._health_by_id.pop(endpoint_id, None)
         self.request_shares.remove(endpoint_id)
+        self.cold.remove(endpoint_id)
         logs.event(logging.INFO, "Endpoint gone", endpoint=endpoint_id)
 
     def _peer_shares(self, endpoint_id: str) -> PeerShares:
--- a/libs/dispatch/src/shallotstand/dispatch/leaving_check.py
+++ b/libs/dispatch/src/shallotstand/dispatch/leaving_check.py
@@ -36,7 +36,9 @@
         due = [
             endpoint
             for endpoint in self._endpoint_registry.by_id.values()
-            if not endpoint.is_leaving and leaving.should_ask(endpoint)
+            if not endpoint.is_leaving
+            and not self._endpoint_registry.is_evacuated(endpoint)
+            and leaving.should_ask(endpoint)
         ]
         await asyncio.gather(*map(self._ask, due))
 
--- a/libs/dispatch/src/shallotstand/dispatch/plain.py
+++ b/libs/dispatch/src/shallotstand/dispatch/plain.py
@@ -137,7 +137,9 @@
         usable = [
             target
             for target in route.targets
-            if self._endpoint_registry.has_endpoints(target.service)
+            if self._endpoint_registry.has_endpoints(
+                target.service, route.allowed_regions
+            )
         ] or route.targets
         return self._rng.choices(
             [target.service for target in usable],
@@ -294,7 +296,9 @@
 
     def _start_attempt(self, service: str, deadline: float) -> bool:
         excluded = frozenset(self.sent_to | self._refused_by)
-        candidates = self._endpoint_registry.candidates(service, excluded)
+        candidates = self._endpoint_registry.candidates(
+            service, excluded, regions=self._route.allowed_regions
+        )
         if not candidates:
             return False
         endpoint = candidates[0]
@@ -326,14 +330,15 @@
             return self._last_error_response
         if self._last_failure is not None:
             return self._last_failure
-        if not self._endpoint_registry.has_endpoints(service):
+        regions = self._route.allowed_regions
+        if not self._endpoint_registry.has_endpoints(service, regions):
             return _NO_ENDPOINT
         wait_left_s = (
             self._route.objective_s * MAX_WAIT_SHARE
             + started_at
             - self._clock.monotonic()
         )
-        limit_wait_s = self._endpoint_registry.limit_wait_s((service,))
+        limit_wait_s = self._endpoint_registry.limit_wait_s((service,), regions)
         if limit_wait_s > max(0.0, wait_left_s):
             return at_limit_failure(limit_wait_s)
         if self.refusal_count >= MAX_REFUSALS or wait_left_s < 0:
--- a/libs/dispatch/src/shallotstand/dispatch/request_handler.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_handler.py
@@ -97,6 +97,9 @@
         if previous is not None and configuration.version <= previous.version:
             return
         self.configuration = configuration
+        self._endpoint_registry.cold.set_rates(
+            configuration.cold_rate_by_service
+        )
         logs.event(
             logging.INFO,
             "Configuration in force",
@@ -236,7 +239,9 @@
         account = self.configuration.authenticate(route, request.key)
         if isinstance(account, Failure):
             return self._refuse_for_good(request, account)
-        return AdmittedRequest(route, account, self.configuration.version)
+        return AdmittedRequest(
+            route.for_account(account), account, self.configuration.version
+        )
 
     def _refuse_for_good(
         self, request: CallerRequest, failure: Failure
--- a/libs/dispatch/src/shallotstand/dispatch/request_shares.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_shares.py
@@ -10,6 +10,12 @@
 In a span of t seconds an endpoint so gets up to R t requests and the larger of
 R SAVED_S and 3 + 1.5 R, and some more for as long as the processes don't know
 of each other.
+
+A cold endpoint accepts a few requests a second, too, and may crash if it gets
+more in any second, so its bound is tighter: COLD_SHARING processes have an
+equal share each and save up one request, which makes R + COLD_SHARING in any
+second. The share does not depend on who else competes, since a process that has
+not heard of the others must not send more. One that few peers reach sends none.
 """
 
 import heapq
@@ -32,6 +38,8 @@
 SHARING_PER_REQUEST_S = 1.5
 # How long the same processes share a limit if more compete than may share it.
 ROTATION_S = 16.0
+# Number of processes that share what a cold endpoint accepts.
+COLD_SHARING = 3
 # Requests per second to an endpoint that states less. Only a response tells
 # that a limit has risen or ended.
 PROBES_PER_S = 0.25
@@ -62,9 +70,37 @@
     competitors: tuple[Competitor, ...] = ()
 
 
+class _Limit(NamedTuple):
+    """What limits the requests to an endpoint.
+
+    Attributes:
+      stated_per_s: Requests per second that it states; None if it states none.
+      cold_per_s: Requests per second that it accepts while it is cold; None if
+        it is warm.
+    """
+
+    stated_per_s: float | None
+    cold_per_s: float | None
+
+
 _NO_PEERS = PeerShares()
 
 
+class _Share(NamedTuple):
+    """What a process may send to an endpoint.
+
+    Attributes:
+      requests_per_s: Requests per second.
+      max_saved: Number of requests that may be saved up.
+    """
+
+    requests_per_s: float
+    max_saved: float
+
+
+_NO_SHARE = _Share(0.0, 1.0)
+
+
 class _Allowance:
     """Token bucket with the requests that this process may send now.
 
@@ -79,11 +115,12 @@
         self.wanted_at = now
         self.waiting = 1
 
-    def refill(self, requests_per_s: float, now: float) -> None:
+    def refill(self, share: _Share, now: float) -> None:
         """Adds the share since the last call, up to what may be saved."""
         self._saved_requests = min(
-            max(1.0, requests_per_s * SAVED_S),
-            self._saved_requests + requests_per_s * (now - self._refilled_at),
+            share.max_saved,
+            self._saved_requests
+            + share.requests_per_s * (now - self._refilled_at),
         )
         self._refilled_at = now
 
@@ -102,9 +139,24 @@
 class RequestShares:
     """This process's shares of the limits of all endpoints."""
 
-    def __init__(self, process_id: str, clock: Clock):
+    def __init__(
+        self,
+        process_id: str,
+        clock: Clock,
+        find_cold_rate: Callable[[str], float | None] = lambda _: None,
+    ):
+        """Creates the shares of a process.
+
+        Args:
+          process_id: Identifier of the process.
+          clock: Source of time.
+          find_cold_rate: Returns the requests per second that an endpoint
+            accepts while it is cold; None if it is warm.
+        """
         self._process_id = process_id
         self._clock = clock
+        self._find_cold_rate = find_cold_rate
+        self._is_isolated: Callable[[], bool] = lambda: False
         self._limits = StatedLimits(clock)
         self._allowance_by_id: dict[str, _Allowance] = {}
         self._fetch_peer_shares: Callable[[str], PeerShares] = lambda _: (
@@ -118,6 +170,10 @@
         """Sets the function that returns the peers' reports of an endpoint."""
         self._fetch_peer_shares = source
 
+    def set_isolation_source(self, source: Callable[[], bool]) -> None:
+        """Sets the function that tells whether few peers reach this process."""
+        self._is_isolated = source
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Calls the listener when peers should hear of a change."""
         self._listeners.append(listener)
@@ -160,7 +216,7 @@
         if waiting:
             return not self.seconds_until_request(endpoint_id, waiting)
         peers = self._fetch_peer_shares(endpoint_id)
-        return self._limits.newest(endpoint_id, peers.stated_limit) is None
+        return self._limit(endpoint_id, peers) is None
 
     def seconds_until_request(
         self, endpoint_id: str, waiting: int = 1
@@ -179,7 +235,7 @@
           other processes for the time being.
         """
         peers = self._fetch_peer_shares(endpoint_id)
-        limit = self._limits.newest(endpoint_id, peers.stated_limit)
+        limit = self._limit(endpoint_id, peers)
         if limit is None:
             self._allowance_by_id.pop(endpoint_id, None)
             return 0.0
@@ -191,7 +247,8 @@
                 logging.INFO,
                 "Competes for an endpoint with a limit",
                 endpoint=endpoint_id,
-                requests_per_s=limit,
+                requests_per_s=limit.stated_per_s,
+                cold_requests_per_s=limit.cold_per_s,
                 waiting=waiting,
                 competitors=len(peers.competitors) + 1,
             )
@@ -208,7 +265,7 @@
           compete, infinite if others share the limit for the time being.
         """
         peers = self._fetch_peer_shares(endpoint_id)
-        limit = self._limits.newest(endpoint_id, peers.stated_limit)
+        limit = self._limit(endpoint_id, peers)
         allowance = self._allowance_by_id.get(endpoint_id)
         if limit is None or allowance is None:
             return 0.0
@@ -232,39 +289,93 @@
             for endpoint_id in own_by_id.keys() | self._limits.own_by_id.keys()
         }
 
+    def _limit(self, endpoint_id: str, peers: PeerShares) -> _Limit | None:
+        """Returns what limits an endpoint; None if nothing does."""
+        limit = _Limit(
+            self._limits.newest(endpoint_id, peers.stated_limit),
+            self._find_cold_rate(endpoint_id),
+        )
+        return None if limit == _Limit(None, None) else limit
+
     def _wait_s(
         self,
         endpoint_id: str,
-        limit: float,
+        limit: _Limit,
         peers: PeerShares,
         allowance: _Allowance,
     ) -> float:
         own = Competitor(self._process_id, allowance.waiting)
-        share = self._share(endpoint_id, limit, own, (*peers.competitors, own))
+        competitors = (*peers.competitors, own)
+        shares = []
+        if limit.stated_per_s is not None:
+            shares.append(
+                self._stated_share(
+                    endpoint_id, limit.stated_per_s, own, competitors
+                )
+            )
+        if limit.cold_per_s is not None:
+            shares.append(
+                self._cold_share(
+                    endpoint_id, limit.cold_per_s, own, competitors
+                )
+            )
+        share = min(shares)
         allowance.refill(share, self._clock.monotonic())
-        return allowance.seconds_until_request(share)
+        return allowance.seconds_until_request(share.requests_per_s)
 
-    def _share(
+    def _stated_share(
         self,
         endpoint_id: str,
-        limit: float,
+        requests_per_s: float,
         own: Competitor,
         competitors: tuple[Competitor, ...],
-    ) -> float:
-        """Returns the requests per second that this process may send."""
-        sharing_count = MIN_SHARING + int(SHARING_PER_REQUEST_S * limit)
-        if len(competitors) > sharing_count:
-            turn = int(self._clock.wall() // ROTATION_S)
-            name = f"{endpoint_id}/{turn}"
-            competitors = heapq.nlargest(
-                sharing_count,
+    ) -> _Share:
+        """Returns this process's share of a limit that an endpoint states."""
+        sharing = self._sharing(
+            endpoint_id,
+            competitors,
+            MIN_SHARING + int(SHARING_PER_REQUEST_S * requests_per_s),
+        )
+        if own not in sharing:
+            return _NO_SHARE
+        total_waiting = sum(one.waiting for one in sharing)
+        own_per_s = (
+            max(requests_per_s, PROBES_PER_S) * own.waiting / total_waiting
+        )
+        return _Share(own_per_s, max(1.0, own_per_s * SAVED_S))
+
+    def _cold_share(
+        self,
+        endpoint_id: str,
+        requests_per_s: float,
+        own: Competitor,
+        competitors: tuple[Competitor, ...],
+    ) -> _Share:
+        """Returns this process's share of what a cold endpoint accepts."""
+        if self._is_isolated() or own not in self._sharing(
+            endpoint_id, competitors, COLD_SHARING
+        ):
+            return _NO_SHARE
+        return _Share(requests_per_s / COLD_SHARING, 1.0)
+
+    def _sharing(
+        self,
+        endpoint_id: str,
+        competitors: tuple[Competitor, ...],
+        count: int,
+    ) -> tuple[Competitor, ...]:
+        """Returns the competitors that share a limit for the time being."""
+        if len(competitors) <= count:
+            return competitors
+        turn = int(self._clock.wall() // ROTATION_S)
+        name = f"{endpoint_id}/{turn}"
+        return tuple(
+            heapq.nlargest(
+                count,
                 competitors,
                 key=lambda one: rendezvous.weight(name, one.process_id),
             )
-            if own not in competitors:
-                return 0.0
-        total_waiting = sum(one.waiting for one in competitors)
-        return max(limit, PROBES_PER_S) * own.waiting / total_waiting
+        )
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- a/libs/dispatch/src/shallotstand/dispatch/slots.py
+++ b/libs/dispatch/src/shallotstand/dispatch/slots.py
@@ -23,6 +23,7 @@
     model: str
     min_version: int
     software_version: str | None
+    allowed_regions: frozenset[str] | None
 
 
 class ResourceRequest(NamedTuple):
@@ -39,6 +40,7 @@
       software_version: Software version of the endpoint that generated the
         text so far, which no other version can continue; None if there is no
         text yet.
+      allowed_regions: Regions that may run it; None if any may.
     """
 
     service: str
@@ -47,12 +49,17 @@
     rank: tuple[float, ...]
     avoided_endpoint_id: str = ""
     software_version: str | None = None
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def need(self) -> _Need:
         """The requirements that decide which endpoints are usable."""
         return _Need(
-            self.service, self.model, self.min_version, self.software_version
+            self.service,
+            self.model,
+            self.min_version,
+            self.software_version,
+            self.allowed_regions,
         )
 
 
@@ -208,6 +215,7 @@
             is_usable=lambda endpoint: self._can_run(
                 endpoint, resource_request
             ),
+            regions=resource_request.allowed_regions,
         )
 
     def _can_run(
--- a/libs/dispatch/src/shallotstand/dispatch/streams.py
+++ b/libs/dispatch/src/shallotstand/dispatch/streams.py
@@ -241,7 +241,8 @@
 
     def _limit_wait_s(self) -> float:
         return self._endpoint_registry.limit_wait_s(
-            target.service for target in self._route.targets
+            (target.service for target in self._route.targets),
+            self._route.allowed_regions,
         )
 
     @property
@@ -292,7 +293,9 @@
             endpoint
             for target in self._route.targets
             for endpoint in self._endpoint_registry.candidates(
-                target.service, is_usable=self._may_serve
+                target.service,
+                is_usable=self._may_serve,
+                regions=self._route.allowed_regions,
             )
         ]
 
@@ -428,7 +431,9 @@
         return self._has_met_restart or any(
             self._may_serve(endpoint)
             for target in self._route.targets
-            for endpoint in self._endpoint_registry.active(target.service)
+            for endpoint in self._endpoint_registry.active(
+                target.service, self._route.allowed_regions
+            )
         )
 
     async def _resume(self, failure: Failure) -> Failure | None:
--- a/libs/dispatch/tests/test_endpoints.py
+++ b/libs/dispatch/tests/test_endpoints.py
@@ -2,13 +2,15 @@
 
 import pytest
 from shallotstand.core.clock import ManualClock
-from shallotstand.dispatch.endpoint_state import EndpointState
-from shallotstand.dispatch.endpoints import (
-    EXPIRY_GRACE_S,
+from shallotstand.dispatch.endpoint_health import (
     FAILURE_RATE_HALF_LIFE_S,
     INITIAL_FAILURE_BACKOFF_S,
     INITIAL_REFUSAL_BACKOFF_S,
     MAX_REFUSAL_BACKOFF_S,
+)
+from shallotstand.dispatch.endpoint_state import EndpointState
+from shallotstand.dispatch.endpoints import (
+    EXPIRY_GRACE_S,
     MEASUREMENT_MAX_AGE_S,
     EndpointRegistry,
 )
--- a/libs/dispatch/tests/test_request_shares.py
+++ b/libs/dispatch/tests/test_request_shares.py
@@ -4,9 +4,6 @@
 many gateways have more work than that for it.
 """
 
-import itertools
-import random
-
 import pytest
 from shallotstand.core.clock import ManualClock
 from shallotstand.dispatch import request_shares
@@ -16,105 +13,8 @@
     RequestShares,
 )
 from shallotstand.dispatch.stated_limits import StatedLimit
-from shallotstand.standins.request_limit import CONTACT_S, RequestLimit
-
-STEP_S = 0.02
-REPORT_INTERVAL_S = 0.4
-REPORT_DELAY_S = 0.05
-PEER_TIMEOUT_S = 1.6
-
-
-class SimulatedGateway:
-    """A gateway's shares, and what it has heard from its peers."""
-
-    def __init__(self, name, fleet):
-        self.name = name
-        self.shares = RequestShares(name, fleet.clock)
-        self.shares.set_peer_shares_source(self._peer_shares)
-        self.shares.subscribe(lambda: fleet.report(self))
-        self.heard_by_peer = {}
-        self.is_cut = False
-        self.waiting = 1
-        self.sent = 0
-        self.next_report_at = fleet.rng.uniform(0, REPORT_INTERVAL_S)
-        self._fleet = fleet
-
-    def _peer_shares(self, endpoint_id):
-        now = self._fleet.clock.monotonic()
-        heard = [
-            shares
-            for received_at, shares in self.heard_by_peer.values()
-            if now - received_at < PEER_TIMEOUT_S
-        ]
-        return PeerShares(
-            max(
-                (s.stated_limit for s in heard if s.stated_limit),
-                key=lambda stated: stated.stated_at,
-                default=None,
-            ),
-            tuple(itertools.chain.from_iterable(s.competitors for s in heard)),
-        )
-
-
-class SimulatedFleet:
-    """Gateways that all have work for one engine."""
-
-    def __init__(self, count, seed=1, requests_per_s=5.0):
-        self.rng = random.Random(seed)
-        self.clock = ManualClock()
-        self.engine = RequestLimit(self.clock.monotonic)
-        self.requests_per_s = requests_per_s
-        self.gateways = [
-            SimulatedGateway(f"g{number}", self) for number in range(count)
-        ]
-        self.replaced = 0
-        self._in_transit = []
-
-    def report(self, gateway):
-        shares = gateway.shares.own_shares_by_id().get("e", PeerShares())
-        delay_s = self.rng.uniform(0, REPORT_DELAY_S)
-        self._in_transit.append(
-            (self.clock.monotonic() + delay_s, gateway, shares)
-        )
-
-    def run(self, seconds):
-        for _ in range(int(seconds / STEP_S)):
-            self.clock.advance(STEP_S)
-            now = self.clock.monotonic()
-            self._deliver(now)
-            for gateway in self.gateways:
-                if now >= gateway.next_report_at:
-                    gateway.next_report_at = now + REPORT_INTERVAL_S
-                    self.report(gateway)
-                if self.rng.random() < self.requests_per_s * STEP_S:
-                    self._try_to_send(gateway)
-
-    def restart(self, number):
-        self.replaced += 1
-        self.gateways[number] = SimulatedGateway(f"new{self.replaced}", self)
-
-    def _deliver(self, now):
-        due = [entry for entry in self._in_transit if entry[0] <= now]
-        self._in_transit = [e for e in self._in_transit if e[0] > now]
-        for _, sender, shares in due:
-            for gateway in self.gateways:
-                if gateway is not sender and not (
-                    gateway.is_cut or sender.is_cut
-                ):
-                    gateway.heard_by_peer[sender.name] = (now, shares)
-
-    def _try_to_send(self, gateway):
-        if gateway.shares.seconds_until_request("e", gateway.waiting) > 0:
-            return
-        gateway.shares.record_send("e")
-        gateway.sent += 1
-        headers = self.engine.record_arrival("r")
-        limit = headers.get("Server-Limit")
-        gateway.shares.record_response(
-            "e",
-            None if limit is None else float(limit),
-            self.clock.monotonic(),
-        )
+from shallotstand.standins.request_limit import CONTACT_S
+from shallotstand.standins.simulated_gateways import SimulatedFleet
 
 
 @pytest.mark.parametrize("seed", range(3))
--- a/libs/peers/src/shallotstand/peers/mesh.py
+++ b/libs/peers/src/shallotstand/peers/mesh.py
@@ -178,6 +178,19 @@
             > PEER_VIEW_SETTLE_S
         )
 
+    @property
+    def is_isolated(self) -> bool:
+        """Whether fewer than half of the registered peers reach this process.
+
+        Peers that have ended and not started again count, too, for a while.
+        """
+        instances = self._registry.addresses_by_instance.keys()
+        reached = sum(
+            self._is_alive(self._states_by_instance[instance])
+            for instance in instances & self._states_by_instance.keys()
+        )
+        return 2 * reached < len(instances)
+
     def is_process_available(self, process_id: str) -> bool:
         """Returns whether a process is alive and can write to the store."""
         return any(
