--- a/tests/adapter/test_engine_reports.py
+++ b/tests/adapter/test_engine_reports.py
@@ -3,11 +3,16 @@
 import asyncio
 
 import pytest
+from shallotstand.adapter.engines import MAX_LIMIT_PER_S
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.endpoint_client import EndpointRequest
+from shallotstand.dispatch.endpoint_state import EndpointState
 from shallotstand.dispatch.endpoints import EndpointRegistry
+from shallotstand.dispatch.request_shares import PeerShares
+from shallotstand.dispatch.stated_limits import StatedLimit
+from shallotstand.peers.endpoint_uses import make_use
 from shallotstand.standins.memory_engines import make_endpoint
 from shallotstand.standins.scripted_http import (
     Reply,
@@ -216,3 +221,17 @@
     heads.append(encode_response("200 OK", Server_Limit="3", **other))
     heads.append(encode_response("200 OK", **other))
     assert read_limits(*heads)[0] == []
+
+
+def test_limit_without_measure_ends_no_process():
+    # Guards against a stated limit whose arithmetic overflows in every gateway
+    # that hears of it.
+    heads = [
+        encode_response("200 OK", Server_Limit=text, **OWN)
+        for text in ("9" * 306, "9" * 400)
+    ]
+    recorded, _ = read_limits(*heads)
+    assert [limit for _, limit in recorded] == [MAX_LIMIT_PER_S] * 2
+    stated = StatedLimit(MAX_LIMIT_PER_S, 0.0)
+    use = make_use("e1", EndpointState(0, None, PeerShares(stated)), 1.0)
+    assert use.limit_per_1000_s == int(MAX_LIMIT_PER_S * 1000)
