Move only items that would keep their batch waiting

Each move cuts a stream, which costs a new connection, and reads the prompt again.

An item that is expected to end within half of the time in which its results are due now stays where it is. The decision is in a module of its own that needs no network (batches/item_moves.py).

--- a/libs/batches/src/shallotstand/batches/item_run.py
+++ b/libs/batches/src/shallotstand/batches/item_run.py
@@ -6,6 +6,11 @@
 
 from absl import logging
 from shallotstand.batches.event_interval import EventInterval
+from shallotstand.batches.item_moves import (
+    RunningItem,
+    is_worth_moving,
+    may_move,
+)
 from shallotstand.batches.item_scoring import score_item
 from shallotstand.batches.progress import Progress
 from shallotstand.batches.records import (
@@ -45,16 +50,6 @@
 STALL_TIMEOUT_S = 2.0
 # Longest wait for the first event; includes the wait for a slot at the engine.
 FIRST_EVENT_TIMEOUT_S = 3.0
-# An item moves only to an engine that is at least this many times as fast. A
-# low ratio suffices, since processing the existing text there takes only
-# milliseconds.
-MIN_MOVE_SPEEDUP = 1.2
-# Minimum time that a move must save; the other engine may have requests queued
-# and has to process the existing text before it continues.
-MIN_MOVE_SAVING_S = 0.4
-# Events after which the measured interval is reliable enough for a move.
-MIN_EVENTS_BEFORE_MOVE = 4
-MAX_MOVES = 3
 # Time limit for one attempt at an engine.
 ATTEMPT_TIMEOUT_S = 20.0
 # Delay before an item checks again for a route that the configuration lacks.
@@ -363,31 +358,28 @@
     def _should_move(
         self, endpoint: Endpoint, route: Route, event_interval: EventInterval
     ) -> bool:
-        if (
-            event_interval.event_count < MIN_EVENTS_BEFORE_MOVE
-            or self._move_count >= MAX_MOVES
-        ):
-            return False
-        min_seconds_per_event = (
+        run = RunningItem(
+            event_interval.event_count,
+            event_interval.seconds_per_event,
+            self._dependencies.size_estimate.events_left(
+                self._item.size_hint, len(self.progress.events)
+            ),
+            self._age_s(),
+            route.results_due_s,
+            self._move_count,
+        )
+        return may_move(run) and is_worth_moving(
+            run,
             self._dependencies.slot_pool.min_seconds_per_unit(
                 self._resource_request(route), endpoint
-            )
-        )
-        if (
-            min_seconds_per_event is None
-            or event_interval.seconds_per_event
-            < min_seconds_per_event * MIN_MOVE_SPEEDUP
-        ):
-            return False
-        events_left = self._dependencies.size_estimate.events_left(
-            self._item.size_hint, len(self.progress.events)
-        )
-        return (
-            events_left
-            * (event_interval.seconds_per_event - min_seconds_per_event)
-            > MIN_MOVE_SAVING_S
+            ),
         )
 
+    def _age_s(self) -> float:
+        """Returns the seconds since the batch was submitted."""
+        clock = self._dependencies.clock
+        return clock.wall() - self._submission.submitted_at
+
     def _handle_outcome(
         self,
         endpoint: Endpoint,
