Place requests by what they are likely to cost and the work that is left

The operators' wish: requests that look alike cost endpoints very different amounts of work. Until now a unary request went where the product of queue length and a smoothed duration was least, whatever it and the queued ones cost; a route's cost and an endpoint's speed were one number.

- RequestCosts learns the seconds of a request at an endpoint of usual speed, by service, route, account and size, with spread, samples and age, bounded in memory.
Outliers are cut; levels without a sample for 60 s don't count.
- What was expected tells how fast an endpoint is, and that tells what a request has cost, so the two are learned apart.
- WorkLedger keeps the seconds of work that this process's requests still cause at each endpoint, those of items by their events still to come; gateways tell each other in their presence.
Gateways of the release before tell counts only.
- A request goes where the work left and its own, at that endpoint's speed, end first, weighted by zone, failures and, new, whether a connection is open.

--- a/libs/batches/src/shallotstand/batches/item_run.py
+++ b/libs/batches/src/shallotstand/batches/item_run.py
@@ -178,11 +178,13 @@
             self._attempt_count += 1
             self._last_endpoint_id = endpoint.id
             is_continued = bool(self.progress.events)
+            is_whole = False
             try:
                 outcome = await self._run_attempt(endpoint, route)
+                is_whole = outcome is None
             finally:
                 self._dependencies.endpoint_registry.record_request_end(
-                    endpoint
+                    endpoint, leaves_connection=is_whole
                 )
             lost_result = self._handle_outcome(
                 endpoint, outcome, route, started
@@ -361,9 +363,7 @@
         run = RunningItem(
             event_interval.event_count,
             event_interval.seconds_per_event,
-            self._dependencies.size_estimate.events_left(
-                self._item.size_hint, len(self.progress.events)
-            ),
+            self._events_left(),
             self._age_s(),
             route.results_due_s,
             self._move_count,
@@ -375,6 +375,12 @@
             ),
         )
 
+    def _events_left(self) -> float:
+        """Returns the estimated number of events still to come."""
+        return self._dependencies.size_estimate.events_left(
+            self._item.size_hint, len(self.progress.events)
+        )
+
     def _age_s(self) -> float:
         """Returns the seconds since the batch was submitted."""
         clock = self._dependencies.clock
@@ -458,6 +464,7 @@
             self._avoided_endpoint_id,
             self.progress.software_version if self.progress.events else None,
             route.allowed_regions,
+            self._events_left(),
         )
 
     def _endpoint_request(self, event_count: int) -> EndpointRequest:
--- a/libs/dispatch/src/shallotstand/dispatch/endpoint_health.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoint_health.py
@@ -2,6 +2,12 @@
 
 import collections
 
+from shallotstand.dispatch.endpoint_state import EndpointState
+from shallotstand.dispatch.request_shares import PeerShares
+from shallotstand.dispatch.work_ledger import IdleConnections, WorkLedger
+
+# Assumed work of a request whose cost is not known yet.
+DEFAULT_WORK_S = 0.1
 # Backoff of an endpoint after a failure; doubles with each consecutive failure,
 # up to the few seconds in which a crashed engine restarts.
 INITIAL_FAILURE_BACKOFF_S = 0.4
@@ -27,6 +33,8 @@
 
     def __init__(self) -> None:
         self.in_flight = 0
+        self.work = WorkLedger()
+        self.connections = IdleConnections()
         self.consecutive_failures = 0
         self.consecutive_refusals_by_model: collections.Counter[str] = (
             collections.Counter()
@@ -41,6 +49,50 @@
         self.failure_rate_updated_at = float("-inf")
         self.version_by_model: dict[str, int] = {}
 
+    @classmethod
+    def of_new_start(cls, previous: "EndpointHealth") -> "EndpointHealth":
+        """Returns the state of an endpoint that has started again.
+
+        Nothing of the start before holds but the requests that still run.
+        """
+        health = cls()
+        health.in_flight = previous.in_flight
+        health.work = previous.work
+        return health
+
+    def state(
+        self, shares: PeerShares, measured_since: float, now: float
+    ) -> EndpointState:
+        """Returns what peers are told.
+
+        Args:
+          shares: What is known of the endpoint's limit.
+          measured_since: Monotonic time in seconds; older measurements of the
+            speed are left out.
+          now: Monotonic time in seconds.
+        """
+        return EndpointState(
+            self.in_flight,
+            self.seconds_per_unit
+            if self.measured_at >= measured_since
+            else None,
+            shares,
+            self.work.left_s(now),
+        )
+
+    def begin_request(self, expected_s: float, now: float) -> None:
+        """Adds a request that is expected to take `expected_s` seconds."""
+        self.in_flight += 1
+        self.work.begin(expected_s, now)
+        self.connections.take()
+
+    def end_request(self, leaves_connection: bool, now: float) -> None:
+        """Takes a request off; its connection may serve another one."""
+        self.in_flight -= 1
+        self.work.end()
+        if leaves_connection:
+            self.connections.leave(now)
+
     def is_available(self, model: str, now: float) -> bool:
         """Returns whether the endpoint is in no backoff for a model."""
         refused_until = self.backoff_until_by_model.get(model, 0.0)
--- a/libs/dispatch/src/shallotstand/dispatch/endpoint_state.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoint_state.py
@@ -15,8 +15,10 @@
         measurement.
       shares: What these processes know of its limit, and which of them
         compete for it.
+      work_left_s: Seconds of work that these requests still cause.
     """
 
     running: int
     seconds_per_unit: float | None = None
     shares: PeerShares = PeerShares()
+    work_left_s: float = 0.0
--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -10,16 +10,18 @@
 from shallotstand.core.clock import Clock
 from shallotstand.dispatch.cold_endpoints import ColdEndpoints
 from shallotstand.dispatch.endpoint import Endpoint
-from shallotstand.dispatch.endpoint_health import EndpointHealth
+from shallotstand.dispatch.endpoint_health import (
+    DEFAULT_WORK_S,
+    EndpointHealth,
+)
+from shallotstand.dispatch.endpoint_list import EndpointList
 from shallotstand.dispatch.endpoint_state import EndpointState
-from shallotstand.dispatch.leaving_endpoints import LeavingEndpoints
 from shallotstand.dispatch.ranking import (
     EndpointRanking,
     EndpointView,
-    QueueRanking,
+    WorkRanking,
 )
 from shallotstand.dispatch.request_shares import PeerShares, RequestShares
-from shallotstand.dispatch.zone_limits import ZoneLimits
 
 # Time after an outage of the store for which endpoints with an expired
 # registration stay in use. They register again within about two seconds, and
@@ -28,7 +30,7 @@
 # A local measurement older than this is replaced by a peer's, if there is one.
 MEASUREMENT_MAX_AGE_S = 1.0
 
-_QUEUE_RANKING = QueueRanking()
+_WORK_RANKING = WorkRanking()
 
 
 class EndpointRegistry:
@@ -41,6 +43,7 @@
       request_shares: This process's shares of the limits that endpoints state.
       leaving: What endpoints say in their responses of leaving.
       cold: The endpoints that are cold.
+      zone_limits: Zones and regions whose endpoints may get requests.
     """
 
     def __init__(
@@ -64,12 +67,12 @@
         self._health_by_id: dict[str, EndpointHealth] = collections.defaultdict(
             EndpointHealth
         )
-        self._expires_at_by_id: dict[str, float] = {}
         self._fetch_peer_states: Callable[[], dict[str, EndpointState]] = dict
-        self.by_id: dict[str, Endpoint] = {}
-        self.leaving = LeavingEndpoints(clock)
+        self._list = EndpointList(region_by_zone, clock, self._forget)
+        self.by_id = self._list.by_id
+        self.leaving = self._list.leaving
+        self.zone_limits = self._list.zone_limits
         self.cold = ColdEndpoints(clock)
-        self._zone_limits = ZoneLimits(region_by_zone)
         self.request_shares = RequestShares(
             process_id, clock, self.cold.requests_per_s
         )
@@ -83,15 +86,12 @@
 
     def local_states_by_id(self) -> dict[str, EndpointState]:
         """Returns this process's states of the endpoints that it uses."""
-        measured_since = self._clock.monotonic() - MEASUREMENT_MAX_AGE_S
+        now = self._clock.monotonic()
+        measured_since = now - MEASUREMENT_MAX_AGE_S
         shares_by_id = self.request_shares.own_shares_by_id()
         return {
-            endpoint_id: EndpointState(
-                health.in_flight,
-                health.seconds_per_unit
-                if health.measured_at >= measured_since
-                else None,
-                shares_by_id.get(endpoint_id, PeerShares()),
+            endpoint_id: health.state(
+                shares_by_id.get(endpoint_id, PeerShares()), measured_since, now
             )
             for endpoint_id, health in self._health_by_id.items()
             if health.in_flight
@@ -105,15 +105,13 @@
 
     def update_endpoint(self, endpoint: Endpoint) -> None:
         """Adds or updates an endpoint from the platform's registry."""
-        previous = self.by_id.get(endpoint.id)
-        self._expires_at_by_id.pop(endpoint.id, None)
+        previous = self._list.put(endpoint)
         if previous is None or previous.started_ms != endpoint.started_ms:
-            in_flight = self._health_by_id[endpoint.id].in_flight
-            health = self._health_by_id[endpoint.id] = EndpointHealth()
-            health.in_flight = in_flight
+            self._health_by_id[endpoint.id] = EndpointHealth.of_new_start(
+                self._health_by_id[endpoint.id]
+            )
             if previous is not None:
                 self.request_shares.record_start(endpoint.id)
-        self.by_id[endpoint.id] = endpoint
         self.cold.record_entry(endpoint)
         if previous is None or previous.identity != endpoint.identity:
             logs.event(
@@ -137,38 +135,26 @@
             remains in use, since its registration may have expired only
             because of an outage of the store.
         """
-        if endpoint_id not in self.by_id:
-            return
-        if keep_until > self._clock.monotonic():
-            self._expires_at_by_id[endpoint_id] = keep_until
-            return
-        self._delete(endpoint_id)
-
-    def begin_evacuation(self, zone: str) -> None:
-        """Sends nothing more to the endpoints of a zone."""
-        self._zone_limits.begin_evacuation(zone)
+        self._list.remove(endpoint_id, keep_until)
 
     def end_evacuation(self, zone: str) -> None:
         """Lets the endpoints of a zone get requests again, a few at first."""
         for endpoint in self.by_id.values():
             if endpoint.zone == zone:
                 self.cold.assume(endpoint)
-        self._zone_limits.end_evacuation(zone)
+        self.zone_limits.end_evacuation(zone)
         self._notify()
 
-    def is_evacuated(self, endpoint: Endpoint) -> bool:
-        """Returns whether nothing may be sent to an endpoint."""
-        return self._zone_limits.is_evacuated(endpoint)
-
     def candidates(
         self,
         service: str,
         excluded: frozenset[str] = frozenset(),
         model: str = "",
-        ranking: EndpointRanking = _QUEUE_RANKING,
+        ranking: EndpointRanking = _WORK_RANKING,
         waiting: int = 1,
         is_usable: Callable[[Endpoint], bool] = lambda _: True,
         regions: frozenset[str] | None = None,
+        expected_s: float = DEFAULT_WORK_S,
     ) -> list[Endpoint]:
         """Returns the available endpoints of a service, the cheapest first.
 
@@ -183,6 +169,8 @@
           is_usable: Whether an endpoint can run the request at all; this
             process does not compete for others.
           regions: Regions that may run the request; None if any may.
+          expected_s: Seconds that the request is expected to take at an
+            endpoint of usual speed.
         """
         mean_seconds_per_unit = self._mean_seconds_per_unit()
         return sorted(
@@ -195,7 +183,7 @@
                 and self.request_shares.allows(endpoint.id, waiting)
             ),
             key=lambda endpoint: ranking.cost(
-                self._view(endpoint, mean_seconds_per_unit)
+                self._view(endpoint, mean_seconds_per_unit, expected_s)
             ),
         )
 
@@ -323,26 +311,42 @@
             or self._health_by_id[endpoint_id].connection_refused_at > since
         )
 
-    def record_request_start(self, endpoint: Endpoint, model: str = "") -> None:
+    def record_request_start(
+        self,
+        endpoint: Endpoint,
+        model: str = "",
+        expected_s: float = DEFAULT_WORK_S,
+    ) -> None:
         """Records that a request is sent to an endpoint.
 
         After a refusal, a single request probes the endpoint. Other requests
         wait until the endpoint accepts the probe or a new backoff ends. Where
         endpoints can be cold, the same holds after a failure: it may have
         started again, and its entry may not say so yet.
+
+        Args:
+          endpoint: The endpoint.
+          model: Model of the request; empty if any.
+          expected_s: Seconds that the endpoint is expected to take for it.
         """
         self.request_shares.record_send(endpoint.id)
         health = self._health_by_id[endpoint.id]
-        health.in_flight += 1
-        health.begin_probe(
-            model,
-            self.cold.has_rate(endpoint.service),
-            self._clock.monotonic(),
-        )
+        now = self._clock.monotonic()
+        health.begin_request(expected_s, now)
+        health.begin_probe(model, self.cold.has_rate(endpoint.service), now)
 
-    def record_request_end(self, endpoint: Endpoint) -> None:
-        """Records that a request to an endpoint has ended."""
-        self._health_by_id[endpoint.id].in_flight -= 1
+    def record_request_end(
+        self, endpoint: Endpoint, leaves_connection: bool = False
+    ) -> None:
+        """Records that a request to an endpoint has ended.
+
+        Args:
+          endpoint: The endpoint.
+          leaves_connection: Whether its connection can serve another request.
+        """
+        self._health_by_id[endpoint.id].end_request(
+            leaves_connection, self._clock.monotonic()
+        )
         self._notify()
 
     def record_acceptance(self, endpoint: Endpoint, model: str = "") -> None:
@@ -426,35 +430,13 @@
           service: The service.
           regions: Regions that may run the requests; None if any may.
         """
-        self._delete_expired()
-        listed = [
-            endpoint
-            for endpoint in self.by_id.values()
-            if endpoint.service == service
-            and not endpoint.is_leaving
-            and self._zone_limits.allows(endpoint, regions)
-        ]
-        return [
-            endpoint
-            for endpoint in listed
-            if not self.leaving.has_said(endpoint)
-        ] or list(filter(self.leaving.is_last_resort, listed))
+        return self._list.active(service, regions)
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint leaves by its entry or its responses."""
-        return endpoint.is_leaving or self.leaving.has_said(endpoint)
-
-    def _delete_expired(self) -> None:
-        if not self._expires_at_by_id:
-            return
-        now = self._clock.monotonic()
-        for endpoint_id, expires_at in list(self._expires_at_by_id.items()):
-            if expires_at <= now:
-                self._delete(endpoint_id)
+        return self._list.is_leaving(endpoint)
 
-    def _delete(self, endpoint_id: str) -> None:
-        self._expires_at_by_id.pop(endpoint_id, None)
-        self.by_id.pop(endpoint_id, None)
+    def _forget(self, endpoint_id: str) -> None:
         if not self._health_by_id[endpoint_id].in_flight:
             self._health_by_id.pop(endpoint_id, None)
         self.request_shares.remove(endpoint_id)
@@ -470,10 +452,25 @@
         state = self._fetch_peer_states().get(endpoint.id)
         return local + (state.running if state else 0)
 
+    def work_left_s(self, endpoint: Endpoint) -> float:
+        """Returns the seconds of work of all processes at an endpoint."""
+        local_s = self._health_by_id[endpoint.id].work.left_s(
+            self._clock.monotonic()
+        )
+        state = self._fetch_peer_states().get(endpoint.id)
+        if state is None:
+            return local_s
+        # Processes of the release before tell how many requests they run only.
+        return local_s + (state.work_left_s or state.running * DEFAULT_WORK_S)
+
     def _view(
-        self, endpoint: Endpoint, mean_seconds_per_unit: float
+        self,
+        endpoint: Endpoint,
+        mean_seconds_per_unit: float,
+        expected_s: float,
     ) -> EndpointView:
         seconds_per_unit = self.seconds_per_unit(endpoint)
+        health = self._health_by_id[endpoint.id]
         return EndpointView(
             self._running_requests(endpoint),
             endpoint.slots,
@@ -482,6 +479,9 @@
             else seconds_per_unit,
             endpoint.zone == self._zone,
             self.failure_rate(endpoint.id),
+            expected_s,
+            self.work_left_s(endpoint),
+            health.connections.has_any(self._clock.monotonic()),
         )
 
     def _mean_seconds_per_unit(self) -> float:
--- a/libs/dispatch/src/shallotstand/dispatch/leaving_check.py
+++ b/libs/dispatch/src/shallotstand/dispatch/leaving_check.py
@@ -37,7 +37,7 @@
             endpoint
             for endpoint in self._endpoint_registry.by_id.values()
             if not endpoint.is_leaving
-            and not self._endpoint_registry.is_evacuated(endpoint)
+            and not self._endpoint_registry.zone_limits.is_evacuated(endpoint)
             and leaving.should_ask(endpoint)
         ]
         await asyncio.gather(*map(self._ask, due))
--- a/libs/dispatch/src/shallotstand/dispatch/plain.py
+++ b/libs/dispatch/src/shallotstand/dispatch/plain.py
@@ -10,6 +10,7 @@
 from shallotstand.core.codes import ResultCode, is_not_run
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import Route
+from shallotstand.dispatch.cost_tracking import RequestCost, traits_of
 from shallotstand.dispatch.crash_guard import UNGUARDED, CrashGuard
 from shallotstand.dispatch.endpoint import Endpoint
 from shallotstand.dispatch.endpoint_client import (
@@ -20,6 +21,7 @@
 )
 from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.fingerprint import fingerprint
+from shallotstand.dispatch.request_costs import RequestCosts
 
 # A request that has no response yet after this share of the latency objective
 # is also sent to a second endpoint. An average request has finished by then; if
@@ -66,7 +68,11 @@
 
 
 class UnaryDispatcher:
-    """Sends requests with unary responses to endpoints."""
+    """Sends requests with unary responses to endpoints.
+
+    Attributes:
+      costs: What requests have cost.
+    """
 
     def __init__(
         self,
@@ -79,6 +85,7 @@
         self._client = client
         self._clock = clock
         self._rng = rng
+        self.costs = RequestCosts(clock)
 
     async def serve(
         self,
@@ -110,6 +117,9 @@
             route,
             endpoint_request,
             guard,
+            RequestCost(
+                self.costs, traits_of(service, route, endpoint_request)
+            ),
         )
         try:
             async with asyncio.timeout(
@@ -203,7 +213,9 @@
         route: Route,
         endpoint_request: EndpointRequest,
         guard: CrashGuard,
+        cost: RequestCost,
     ):
+        self.cost = cost
         self._guard = guard
         self._endpoint_registry = endpoint_registry
         self._client = client
@@ -297,7 +309,10 @@
     def _start_attempt(self, service: str, deadline: float) -> bool:
         excluded = frozenset(self.sent_to | self._refused_by)
         candidates = self._endpoint_registry.candidates(
-            service, excluded, regions=self._route.allowed_regions
+            service,
+            excluded,
+            regions=self._route.allowed_regions,
+            expected_s=self.cost.expected_s,
         )
         if not candidates:
             return False
@@ -305,7 +320,11 @@
         now = self._clock.monotonic()
         self.sent_to.add(endpoint.id)
         self.send_count += 1
-        self._endpoint_registry.record_request_start(endpoint)
+        self._endpoint_registry.record_request_start(
+            endpoint,
+            expected_s=self.cost.expected_s
+            * (self._endpoint_registry.seconds_per_unit(endpoint) or 1.0),
+        )
         task = asyncio.ensure_future(
             self._client.send_request(
                 endpoint,
@@ -357,8 +376,12 @@
         """
         attempt = self._running.pop(task)
         endpoint = attempt.endpoint
-        self._endpoint_registry.record_request_end(endpoint)
         outcome = task.result()
+        self._endpoint_registry.record_request_end(
+            endpoint,
+            leaves_connection=self._route.is_repeatable
+            and isinstance(outcome, EndpointResponse),
+        )
         if isinstance(outcome, Failure):
             if is_not_run(outcome.code):
                 self.sent_to.discard(endpoint.id)
@@ -385,7 +408,7 @@
             endpoint, has_failed=outcome.status >= 500
         )
         if outcome.status < 500:
-            self._endpoint_registry.record_success(endpoint, took_s)
+            self.cost.record_success(self._endpoint_registry, endpoint, took_s)
             return outcome
         self._last_error_response = outcome
         self.failed_attempt_count += outcome.status == 500
@@ -422,6 +445,10 @@
         refusals=attempts.refusal_count,
         endpoints=sorted(attempts.sent_to),
         took_s=round(took_s, 4),
+        expected_s=round(attempts.cost.expected_s, 4),
+        cost_samples=attempts.cost.estimate.sample_count
+        if attempts.cost.estimate
+        else 0,
         status=outcome.code_info.http_status if is_failure else outcome.status,
         code=int(outcome.code) if is_failure else 0,
         reason=outcome.reason if is_failure else "",
--- a/libs/dispatch/src/shallotstand/dispatch/request_handler.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_handler.py
@@ -9,11 +9,13 @@
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.config import ClientAccount, Configuration, Route
+from shallotstand.dispatch.cost_tracking import traits_of
 from shallotstand.dispatch.crash_guard import CrashRecordGuard
 from shallotstand.dispatch.crash_record import CrashRecord
 from shallotstand.dispatch.endpoint_client import (
     CallerRequest,
     EndpointClient,
+    EndpointRequest,
     EndpointResponse,
 )
 from shallotstand.dispatch.endpoints import EndpointRegistry
@@ -21,6 +23,7 @@
     UnaryDispatcher,
     build_endpoint_request,
 )
+from shallotstand.dispatch.request_costs import RequestTraits
 from shallotstand.dispatch.start_check import StartCheck
 from shallotstand.dispatch.stream_origins import StreamOrigins
 from shallotstand.dispatch.streams import CallerStream
@@ -157,7 +160,7 @@
         guard = CrashRecordGuard(self._crash_record, endpoint_request)
         budget_s = _budget_s(request, route)
         refusal = guard.refusal() or self._stop_refusal(
-            min(budget_s, self._expected_s(route))
+            min(budget_s, self._expected_s(route, endpoint_request))
         )
         if refusal is not None:
             return self._refuse(request, refusal)
@@ -221,14 +224,31 @@
             ResultCode.SHUTTING_DOWN, "This process stops before the answer."
         )
 
-    def _expected_s(self, route: Route) -> float:
+    def _expected_s(
+        self, route: Route, endpoint_request: EndpointRequest
+    ) -> float:
         """Returns how long a request may take; infinite if unknown."""
         return DURATION_MARGIN * max(
+            (
+                self._slowest_s(
+                    target.service,
+                    traits_of(target.service, route, endpoint_request),
+                )
+                for target in route.targets
+            ),
+            default=float("inf"),
+        )
+
+    def _slowest_s(self, service: str, traits: RequestTraits) -> float:
+        """Returns the expected seconds at the slowest endpoint."""
+        estimate = self._unary_dispatcher.costs.estimate(traits)
+        if estimate is None:
+            return float("inf")
+        return estimate.seconds * max(
             (
                 self._endpoint_registry.seconds_per_unit(endpoint)
                 or float("inf")
-                for target in route.targets
-                for endpoint in self._endpoint_registry.active(target.service)
+                for endpoint in self._endpoint_registry.active(service)
             ),
             default=float("inf"),
         )
--- a/libs/dispatch/src/shallotstand/dispatch/slots.py
+++ b/libs/dispatch/src/shallotstand/dispatch/slots.py
@@ -4,9 +4,11 @@
 import collections
 import heapq
 import itertools
+import math
 from typing import NamedTuple
 
 from shallotstand.dispatch.endpoint import Endpoint
+from shallotstand.dispatch.endpoint_health import DEFAULT_WORK_S
 from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.ranking import EndpointRanking, SpeedRanking
 
@@ -41,6 +43,8 @@
         text so far, which no other version can continue; None if there is no
         text yet.
       allowed_regions: Regions that may run it; None if any may.
+      expected_units: Units of work that it is expected to need: events that
+        are still to come; infinite if unknown.
     """
 
     service: str
@@ -50,6 +54,7 @@
     avoided_endpoint_id: str = ""
     software_version: str | None = None
     allowed_regions: frozenset[str] | None = None
+    expected_units: float = 0.0
 
     @property
     def need(self) -> _Need:
@@ -168,7 +173,9 @@
                 endpoints_by_need[need], resource_request.avoided_endpoint_id
             )
             self._endpoint_registry.record_request_start(
-                endpoint, resource_request.model
+                endpoint,
+                resource_request.model,
+                self._expected_s(endpoint, resource_request),
             )
             future.set_result(endpoint)
             waiting_by_need[need] -= 1
@@ -181,6 +188,16 @@
         self._waiters = still_waiting
         self._schedule_retry()
 
+    def _expected_s(
+        self, endpoint: Endpoint, resource_request: ResourceRequest
+    ) -> float:
+        """Returns the seconds that an item is likely to take at an endpoint."""
+        seconds_per_unit = self._endpoint_registry.seconds_per_unit(endpoint)
+        if seconds_per_unit is None or not resource_request.expected_units:
+            return DEFAULT_WORK_S
+        expected_s = resource_request.expected_units * seconds_per_unit
+        return expected_s if math.isfinite(expected_s) else DEFAULT_WORK_S
+
     def _schedule_retry(self) -> None:
         """Schedules a new assignment for the end of the next backoff."""
         if self._retry_timer is not None:
--- a/libs/link/src/shallotstand/link/gateway_messages.py
+++ b/libs/link/src/shallotstand/link/gateway_messages.py
@@ -19,6 +19,8 @@
       limit_per_1000_s: The limit, in requests per 1,000 seconds.
       waiting: Number of the gateway's requests that wait for the endpoint, for
         which it takes a share of the limit; 0 if it takes none.
+      work_left_ms: Milliseconds of work that the running requests still cause
+        there.
     """
 
     endpoint: str
@@ -29,6 +31,7 @@
     has_limit: bool = False
     limit_per_1000_s: int = 0
     waiting: int = 0
+    work_left_ms: int = 0
 
 
 class Presence(NamedTuple):
--- a/libs/link/src/shallotstand/link/messages.capnp
+++ b/libs/link/src/shallotstand/link/messages.capnp
@@ -246,6 +246,7 @@
   hasLimit @5 :Bool;
   limitPer1000S @6 :UInt32;
   waiting @7 :UInt16;
+  workLeftMs @8 :UInt32;
 }
 
 struct Presence {
--- a/libs/peers/src/shallotstand/peers/endpoint_uses.py
+++ b/libs/peers/src/shallotstand/peers/endpoint_uses.py
@@ -47,6 +47,7 @@
         waiting=min(
             _MAX_WAITING, sum(one.waiting for one in state.shares.competitors)
         ),
+        work_left_ms=min(_MAX_FIELD, round(state.work_left_s * 1000)),
     )
 
 
@@ -73,6 +74,7 @@
                 if report.use.waiting
             ),
         ),
+        sum(report.use.work_left_ms for report in reports) / 1000,
     )
 
 
