Hand running batches on to peers when a gateway stops

A gateway that stops left its batches to whichever peer found out that nobody runs them. That one first read the end of the batch and all texts in progress from the store, so a batch stood still while the store was slow or away, and events after the last checkpoint were lost.

The gateway now sends each batch, its listed results and its texts to a peer, over the link that hands new batches over: one of its zone by load, else of any zone. The peer goes on at once and asks the store meanwhile whether the batch has ended. What no peer takes is taken over as before; the final checkpoint is still written. Peers hear first that the gateway no longer runs the batch.

Log: `Running batch handed on`, `Running batch not handed on`.

--- a/apps/gateway/src/shallotstand/gateway/batching.py
+++ b/apps/gateway/src/shallotstand/gateway/batching.py
@@ -1,5 +1,7 @@
 """Accepts, runs and retains batches in a gateway."""
 
+import asyncio
+import itertools
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -7,7 +9,7 @@
 from shallotstand.batches.batch_log import BatchLog
 from shallotstand.batches.checkpoints import Checkpoints
 from shallotstand.batches.item_run import ItemRunDependencies
-from shallotstand.batches.peer_reads import PeerRequest
+from shallotstand.batches.peer_reads import PeerRequest, RunningBatch
 from shallotstand.batches.registry import BatchRegistry
 from shallotstand.batches.retention import Retention
 from shallotstand.batches.runner import BatchRunner
@@ -117,6 +119,7 @@
             self._is_running_locally,
             PeerBatchRequests(self.mesh, self._handle_peer_request),
             process_id,
+            self._take_texts,
         )
         self.placement = BatchPlacement(
             process_id,
@@ -164,13 +167,31 @@
     def _is_running_locally(self, batch_id: str) -> bool:
         return self._runner.is_running_batch(batch_id)
 
+    def _take_texts(self, running: RunningBatch) -> None:
+        self._runner.take_texts(running)
+
     async def _handle_peer_request(
         self, batch_id: str, request: PeerRequest
     ) -> Any:
         return await self.service.handle_peer_request(batch_id, request)
 
     async def stop(self) -> None:
-        """Stops running batches, so that other processes take them over."""
-        await self._checkpoints.write_final(FINAL_WRITE_TIMEOUT_S)
-        await self._runner.stop()
+        """Hands the running batches on to peers.
+
+        The final checkpoint is for batches that no peer takes. Peers learn
+        that this process runs the batches no more before they get them.
+        """
+        checkpoint = asyncio.create_task(
+            self._checkpoints.write_final(FINAL_WRITE_TIMEOUT_S)
+        )
+        # Lets it collect the texts before the runs end.
+        await asyncio.sleep(0)
+        running = await self._runner.stop()
         self.mesh.broadcast_presence()
+        successors = self.placement.choose_successors(len(running))
+        await asyncio.gather(
+            checkpoint,
+            *itertools.starmap(
+                self.service.hand_on, zip(running, successors, strict=False)
+            ),
+        )
--- a/libs/batches/src/shallotstand/batches/checkpoints.py
+++ b/libs/batches/src/shallotstand/batches/checkpoints.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import itertools
-from typing import TypedDict
 
 from absl import logging
-from shallotstand.batches.progress import Progress
+from shallotstand.batches.progress import Progress, ProgressRecord
 from shallotstand.core import logs
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
@@ -28,20 +27,6 @@
 MAX_DOCUMENT_BYTES = 900_000
 
 
-class ProgressRecord(TypedDict):
-    """Stored form of the text of an unfinished item.
-
-    `events` and `versions` hold the data and the weight version of each event;
-    `is_whole` says whether the text is complete; `software_version` is that of
-    the engines that generated it.
-    """
-
-    events: list[str]
-    versions: list[int]
-    is_whole: bool
-    software_version: str
-
-
 class Checkpoints:
     """Texts of unfinished items in the store.
 
@@ -144,12 +129,7 @@
             size += sum(len(event) + 8 for event in progress.events) + 100
             if size > MAX_DOCUMENT_BYTES:
                 break
-            records[item_id] = ProgressRecord(
-                events=list(progress.events),
-                versions=list(progress.versions),
-                is_whole=progress.is_complete,
-                software_version=progress.software_version or "",
-            )
+            records[item_id] = progress.to_record()
         return records
 
 
@@ -157,7 +137,7 @@
     """Returns the texts in a checkpoint by item; none if it can't be read."""
     try:
         return [
-            (item_id, _parse_record(record))
+            (item_id, Progress.from_record(record))
             for item_id, record in document.spec.items()
         ]
     except MALFORMED_CONTENT as error:
@@ -169,12 +149,3 @@
             error=repr(error),
         )
         return []
-
-
-def _parse_record(record: ProgressRecord) -> Progress:
-    progress = Progress()
-    progress.events = list(record["events"])
-    progress.versions = list(record["versions"])
-    progress.is_complete = bool(record["is_whole"])
-    progress.software_version = str(record["software_version"])
-    return progress
--- a/libs/batches/src/shallotstand/batches/peer_reads.py
+++ b/libs/batches/src/shallotstand/batches/peer_reads.py
@@ -5,6 +5,7 @@
 import itertools
 from typing import Any, NamedTuple, NotRequired, Protocol, TypedDict
 
+from shallotstand.batches.progress import Progress, ProgressRecord
 from shallotstand.batches.records import (
     BATCH_LOG_KIND,
     SUBMISSION_SUFFIX,
@@ -35,13 +36,26 @@
     next_position: int
 
 
+class RunningBatch(NamedTuple):
+    """A batch that has run, with what it has generated.
+
+    Attributes:
+      batch: The batch with the results that are listed.
+      progress_by_item: Texts of items without a listed result.
+    """
+
+    batch: Batch
+    progress_by_item: dict[str, Progress]
+
+
 class Action(enum.StrEnum):
     """What one process requests from another about a batch.
 
     PAGE reads results. BODY reads the body of an item. CHECK checks that the
     batch belongs to the account. END ends the batch. ENTRIES reads its
     submission and results, so that another process can take the batch over.
-    RUN hands a batch over to the process that is to run it.
+    RUN hands a batch over to the process that is to run it, also while it runs:
+    a process that stops hands its batches on.
     """
 
     PAGE = "page"
@@ -58,8 +72,9 @@
     `account` is the caller's client account; empty with ENTRIES. `wait_s` is
     the time in seconds to wait for the first result (PAGE) or to store the end
     (END), otherwise 0. `position` is the first position of a page, otherwise 0.
-    `item` is the item whose body is requested, otherwise empty. `submission`
-    is present with RUN only.
+    `item` is the item whose body is requested, otherwise empty. With RUN only,
+    `submission` is present, and if the batch has run already, `entries` with
+    its results and `progress` with the texts of unfinished items, by item.
     """
 
     action: Action
@@ -68,6 +83,8 @@
     position: int
     wait_s: float
     submission: NotRequired[dict[str, Any]]
+    entries: NotRequired[list[tuple[str, Any]]]
+    progress: NotRequired[dict[str, ProgressRecord]]
 
 
 class BatchPeers(Protocol):
@@ -148,7 +165,32 @@
         return answer if isinstance(answer, Failure) else None
 
     async def hand_over(self, submission: Submission) -> Failure | None:
-        """Hands a batch over to the process that is to run it."""
+        """Hands a new batch over to the process that is to run it."""
+        return await self._send_run(submission)
+
+    async def hand_on(
+        self, running: RunningBatch, process_id: str
+    ) -> Failure | None:
+        """Hands a batch on that has run here.
+
+        Args:
+          running: The batch and its texts.
+          process_id: Identifier of the process that is to run it.
+        """
+        batch = running.batch
+        _, *results = entries_answer(batch)["entries"]
+        return await self._send_run(
+            batch.submission._replace(owner=process_id),
+            entries=results,
+            progress={
+                item_id: progress.to_record()
+                for item_id, progress in running.progress_by_item.items()
+            },
+        )
+
+    async def _send_run(
+        self, submission: Submission, **texts: Any
+    ) -> Failure | None:
         answer = await self._peers.request_from_process(
             submission.owner,
             submission.id,
@@ -159,6 +201,7 @@
                 position=0,
                 wait_s=0.0,
                 submission=submission_to_spec(submission),
+                **texts,
             ),
         )
         return answer if isinstance(answer, Failure) else None
--- a/libs/batches/src/shallotstand/batches/progress.py
+++ b/libs/batches/src/shallotstand/batches/progress.py
@@ -1,7 +1,7 @@
 """Texts generated so far, cached so that an item can resume."""
 
 import collections
-from typing import NamedTuple
+from typing import NamedTuple, TypedDict
 
 from shallotstand.batches.records import Item
 
@@ -9,6 +9,20 @@
 MAX_CACHED_ITEMS = 2000
 
 
+class ProgressRecord(TypedDict):
+    """Stored form of the text of an unfinished item.
+
+    `events` and `versions` hold the data and the weight version of each event;
+    `is_whole` says whether the text is complete; `software_version` is that of
+    the engines that generated it.
+    """
+
+    events: list[str]
+    versions: list[int]
+    is_whole: bool
+    software_version: str
+
+
 class Progress:
     """The text generated so far for an item.
 
@@ -43,6 +57,29 @@
             return False
         return all(version >= min_version for version in versions)
 
+    @classmethod
+    def from_record(cls, record: ProgressRecord) -> "Progress":
+        """Returns the text that a record holds.
+
+        Raises:
+          KeyError, TypeError, ValueError: The record is malformed.
+        """
+        progress = cls()
+        progress.events = list(record["events"])
+        progress.versions = list(record["versions"])
+        progress.is_complete = bool(record["is_whole"])
+        progress.software_version = str(record["software_version"])
+        return progress
+
+    def to_record(self) -> ProgressRecord:
+        """Returns the stored form."""
+        return ProgressRecord(
+            events=list(self.events),
+            versions=list(self.versions),
+            is_whole=self.is_complete,
+            software_version=self.software_version or "",
+        )
+
     def clear(self) -> None:
         """Discards the text, so that the item starts over."""
         self.events.clear()
--- a/libs/batches/src/shallotstand/batches/registry.py
+++ b/libs/batches/src/shallotstand/batches/registry.py
@@ -157,6 +157,13 @@
                 reason=repr(error),
             )
 
+    def assign(self, batch_id: str, owner: str) -> None:
+        """Lets another process run a batch that is known already."""
+        batch = self.by_id.get(batch_id)
+        if batch is not None and batch.submission.owner != owner:
+            batch.submission = batch.submission._replace(owner=owner)
+            self._notify(batch)
+
     def was_resubmitted_later(self, item_id: str, batch_id: str) -> bool:
         """Returns whether a batch read after the given one has the item."""
         return self._latest_batch_by_item.get(item_id, batch_id) != batch_id
--- a/libs/batches/src/shallotstand/batches/runner.py
+++ b/libs/batches/src/shallotstand/batches/runner.py
@@ -8,6 +8,7 @@
 from shallotstand.batches.batch_log import BatchLog
 from shallotstand.batches.checkpoints import Checkpoints
 from shallotstand.batches.item_run import ItemRun, ItemRunDependencies
+from shallotstand.batches.peer_reads import RunningBatch
 from shallotstand.batches.progress import Progress, ProgressCache
 from shallotstand.batches.records import Item, Result, ResultState
 from shallotstand.batches.registry import Batch, BatchRegistry
@@ -89,6 +90,8 @@
         self._tasks_by_batch: dict[str, asyncio.Task] = {}
         # Batches that have waited here for a newer configuration.
         self._delayed_ids: set[str] = set()
+        # Batches that a peer has handed on with their texts.
+        self._handed_on_ids: set[str] = set()
         self._abandoned_since: dict[str, float] = {}
         self._is_running = False
         batch_registry.subscribe(self._review)
@@ -124,13 +127,45 @@
             await self._load_abandoned()
             await asyncio.sleep(REVIEW_INTERVAL_S)
 
-    async def stop(self) -> None:
-        """Cancels all runs; other processes take the batches over."""
+    async def stop(self) -> list[RunningBatch]:
+        """Cancels all runs; other processes are to run the batches.
+
+        Returns:
+          The open batches that ran here, with the texts of their items.
+        """
         self._is_running = False
-        tasks = list(self._tasks_by_batch.values())
-        for task in tasks:
+        tasks_by_batch = dict(self._tasks_by_batch)
+        for task in tasks_by_batch.values():
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*tasks_by_batch.values(), return_exceptions=True)
+        batches = (
+            self._batch_registry.by_id.get(batch_id)
+            for batch_id in tasks_by_batch
+        )
+        return [
+            RunningBatch(batch, self._pop_texts(batch))
+            for batch in batches
+            if batch is not None and batch.is_open
+        ]
+
+    def take_texts(self, running: RunningBatch) -> None:
+        """Takes the texts of a batch that a peer has run and hands on."""
+        items_by_id = running.batch.items_by_id
+        for item_id, progress in running.progress_by_item.items():
+            if item_id in items_by_id:
+                self._progress_cache.put(items_by_id[item_id], progress)
+        self._handed_on_ids.add(running.batch.id)
+
+    def _pop_texts(self, batch: Batch) -> dict[str, Progress]:
+        texts = {
+            item.id: self._progress_cache.pop(item)
+            for item in batch.unlisted_items()
+        }
+        return {
+            item_id: progress
+            for item_id, progress in texts.items()
+            if progress.events
+        }
 
     async def _load_abandoned(self) -> None:
         """Reads the batches that no process seems to run.
@@ -234,6 +269,8 @@
         )
 
     async def _run_batch(self, batch: Batch) -> None:
+        is_handed_on = batch.id in self._handed_on_ids
+        self._handed_on_ids.discard(batch.id)
         if (
             batch.submission.owner != self._process_id
             or batch.id in self._delayed_ids
@@ -253,12 +290,17 @@
             listing_task = group.create_task(
                 self._list_results(batch, finished)
             )
+            if is_handed_on:
+                # Its end may have been stored before the peer knew of it.
+                refresh_task = group.create_task(self._refresh_batch(batch))
             while batch.is_open:
                 await batch.wait_for_change(REVIEW_INTERVAL_S)
                 # Another process may run the batch, too, and append results.
                 for item_id in batch.listed_ids & tasks_by_item.keys():
                     tasks_by_item.pop(item_id).cancel()
             listing_task.cancel()
+            if is_handed_on:
+                refresh_task.cancel()
             for task in tasks_by_item.values():
                 task.cancel()
 
--- a/libs/batches/src/shallotstand/batches/service.py
+++ b/libs/batches/src/shallotstand/batches/service.py
@@ -12,10 +12,12 @@
     BatchPeers,
     PeerRequest,
     ResultPage,
+    RunningBatch,
     body_answer,
     entries_answer,
     page_answer,
 )
+from shallotstand.batches.progress import Progress
 from shallotstand.batches.records import (
     BATCH_LOG_KIND,
     SUBMISSION_SUFFIX,
@@ -55,6 +57,7 @@
         is_running_locally: Callable[[str], bool] = lambda _: True,
         peers: BatchPeers | None = None,
         process_id: str = "",
+        take_texts: Callable[[RunningBatch], None] = lambda _: None,
     ):
         """Creates the service of a process.
 
@@ -65,7 +68,9 @@
           is_running_locally: Returns whether this process runs a batch.
           peers: The other processes; None if there are none.
           process_id: Identifier of this process.
+          take_texts: Called with a batch that a peer has run and hands on.
         """
+        self._take_texts = take_texts
         self._batch_registry = batch_registry
         self._log = log
         self._clock = clock
@@ -172,10 +177,7 @@
           Others: As for `read_results`, `read_item_body` or `end`.
         """
         if request["action"] == Action.RUN:
-            name = entry_name(batch_id, SUBMISSION_SUFFIX)
-            self._batch_registry.apply(
-                Document(BATCH_LOG_KIND, name, 0, request["submission"])
-            )
+            self._receive_batch(batch_id, request)
         batch = self._batch_registry.by_id.get(batch_id)
         if batch is None:
             return Failure(
@@ -188,6 +190,51 @@
             return failure
         return await self._answer_peer_request(batch, request)
 
+    def _receive_batch(self, batch_id: str, request: PeerRequest) -> None:
+        """Takes a batch that a peer hands over.
+
+        The texts are taken before the batch starts to run here.
+        """
+        name = entry_name(batch_id, SUBMISSION_SUFFIX)
+        for entry, spec in (
+            (name, request["submission"]),
+            *request.get("entries", ()),
+        ):
+            self._batch_registry.apply(Document(BATCH_LOG_KIND, entry, 0, spec))
+        batch = self._batch_registry.by_id.get(batch_id)
+        if batch is None or "progress" not in request:
+            return
+        self._take_texts(
+            RunningBatch(
+                batch,
+                {
+                    item_id: Progress.from_record(record)
+                    for item_id, record in request["progress"].items()
+                },
+            )
+        )
+        self._batch_registry.assign(batch_id, self._process_id)
+
+    async def hand_on(self, running: RunningBatch, process_id: str) -> None:
+        """Hands a batch on to a peer, since this process stops.
+
+        If that fails, a peer detects that no process runs the batch.
+        """
+        if self._peer_client is None:
+            return
+        failure = await self._peer_client.hand_on(running, process_id)
+        logs.event(
+            logging.INFO,
+            "Running batch handed on"
+            if failure is None
+            else "Running batch not handed on",
+            batch=running.batch.id,
+            to=process_id,
+            texts=len(running.progress_by_item),
+            listed=len(running.batch.listed_ids),
+            reason=failure.reason if failure else "",
+        )
+
     async def _answer_peer_request(
         self, batch: Batch, request: PeerRequest
     ) -> Any:
--- a/libs/peers/src/shallotstand/peers/mesh.py
+++ b/libs/peers/src/shallotstand/peers/mesh.py
@@ -268,6 +268,10 @@
             for endpoint, reports in reports_by_endpoint.items()
         }
 
+    def available(self) -> list[Presence]:
+        """Returns the last presence of each available peer."""
+        return list(self._available_presences())
+
     def available_in_zone(self, zone: str) -> list[Presence]:
         """Returns the last presence of each available peer in a zone."""
         return [
--- a/libs/peers/src/shallotstand/peers/placement.py
+++ b/libs/peers/src/shallotstand/peers/placement.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from shallotstand.link.gateway_messages import EndpointUse
+from shallotstand.link.gateway_messages import EndpointUse, Presence
 from shallotstand.peers.mesh import PeerMesh
 
 # Assumed number of requests that a new batch adds to the process that runs it.
@@ -55,21 +55,55 @@
         own = _candidate(
             self._process_id, self._processor_share, self._count_running()
         )
-        candidates = [
-            _candidate(
-                presence.process_id,
-                presence.processor_share,
-                _total_running(presence.uses),
-            )
-            for presence in self._mesh.available_in_zone(self._zone)
-        ]
         best = min(
-            candidates, key=lambda candidate: candidate.load, default=own
+            map(_peer_candidate, self._mesh.available_in_zone(self._zone)),
+            key=lambda candidate: candidate.load,
+            default=own,
         )
         return (
             best if best.load < own.load * MAX_LOAD_RATIO else own
         ).process_id
 
+    def choose_successors(self, count: int) -> list[str]:
+        """Returns the peers that are to run the batches of this process.
+
+        Those of its zone come first, the least loaded first; each gets a share
+        of the batches.
+
+        Args:
+          count: Number of batches.
+
+        Returns:
+          Identifiers of processes, one for each batch; empty if no peer is
+          available.
+        """
+        peers = (
+            self._mesh.available_in_zone(self._zone) or self._mesh.available()
+        )
+        candidates = sorted(
+            map(_peer_candidate, peers), key=lambda candidate: candidate.load
+        )
+        loads_by_id = {one.process_id: one.load for one in candidates}
+        shares_by_id = {
+            presence.process_id: presence.processor_share for presence in peers
+        }
+        successors = []
+        for _ in range(count if candidates else 0):
+            chosen = min(loads_by_id, key=loads_by_id.__getitem__)
+            loads_by_id[chosen] += REQUESTS_PER_BATCH / max(
+                1, shares_by_id[chosen]
+            )
+            successors.append(chosen)
+        return successors
+
+
+def _peer_candidate(presence: Presence) -> _Candidate:
+    return _candidate(
+        presence.process_id,
+        presence.processor_share,
+        _total_running(presence.uses),
+    )
+
 
 def _candidate(
     process_id: str, processor_share: int, running: int
--- a/libs/peers/tests/test_placement.py
+++ b/libs/peers/tests/test_placement.py
@@ -24,6 +24,9 @@
     def available_in_zone(self, zone):
         return self._peers if zone == "zone-a" else []
 
+    def available(self):
+        return self._peers
+
 
 def choose_process(share, running, *peers, zone="zone-a"):
     return BatchPlacement(
@@ -51,3 +54,24 @@
 
 def test_peers_of_other_zones_are_not_considered():
     assert choose_process(38, 0, ("large", 215, 0), zone="zone-b") == "own"
+
+
+def choose_successors(count, *peers, zone="zone-a"):
+    return BatchPlacement(
+        "own", zone, 80, FakeMesh(*peers), lambda: 0
+    ).choose_successors(count)
+
+
+def test_batches_of_a_stopping_process_are_shared_out():
+    # Pattern: gateways stop in turn while batches run. Guards against a single
+    # peer that gets all batches of a gateway.
+    peers = (("a", 80, 0), ("b", 80, 0), ("busy", 80, 400))
+    assert sorted(choose_successors(4, *peers)) == ["a", "a", "b", "b"]
+    large = (("large", 240, 0), ("small", 40, 0))
+    assert choose_successors(2, *large) == ["large", "large"]
+
+
+def test_successors_may_be_in_other_zones():
+    # Guards against batches that nobody takes where a zone has one gateway.
+    assert choose_successors(1, ("a", 80, 0), zone="zone-b") == ["a"]
+    assert choose_successors(2) == []
