Choose from a part of large services, and send presence less often to many peers

Each choice of an endpoint ranked all endpoints of the service, each presence message went to all peers 2.5 times a second, merging them followed each 0.05 s, and each check for batches that nobody runs searched all presences.

Endpoints are indexed by service, and only those in use are gone through for the presence. - The interval of presence messages and of merging grows with the peers, so what a process spends stays about the same; 0.4 s up to 66 peers, as before. The time after which a silent peer counts as gone is four intervals. - Claims of batches are indexed by batch.

--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -31,6 +31,7 @@
 MEASUREMENT_MAX_AGE_S = 1.0
 
 _WORK_RANKING = WorkRanking()
+_UNUSED = EndpointState(0)
 
 
 class EndpointRegistry:
@@ -68,7 +69,11 @@
             EndpointHealth
         )
         self._fetch_peer_states: Callable[[], dict[str, EndpointState]] = dict
-        self._list = EndpointList(region_by_zone, clock, self._forget)
+        self._list = EndpointList(
+            process_id, region_by_zone, clock, self._forget
+        )
+        # Endpoints that may have something to tell peers of.
+        self._used_ids: set[str] = set()
         self.by_id = self._list.by_id
         self.leaving = self._list.leaving
         self.zone_limits = self._list.zone_limits
@@ -76,7 +81,9 @@
         self.request_shares = RequestShares(
             process_id, clock, self.cold.requests_per_s
         )
-        self.request_shares.set_peer_shares_source(self._peer_shares)
+        self.request_shares.set_peer_shares_source(
+            lambda endpoint_id: self._peer_state(endpoint_id).shares
+        )
 
     def set_peer_states_source(
         self, source: Callable[[], dict[str, EndpointState]]
@@ -89,15 +96,20 @@
         now = self._clock.monotonic()
         measured_since = now - MEASUREMENT_MAX_AGE_S
         shares_by_id = self.request_shares.own_shares_by_id()
-        return {
+        states_by_id = {
             endpoint_id: health.state(
                 shares_by_id.get(endpoint_id, PeerShares()), measured_since, now
             )
-            for endpoint_id, health in self._health_by_id.items()
+            for endpoint_id, health in (
+                (endpoint_id, self._health_by_id[endpoint_id])
+                for endpoint_id in self._used_ids | shares_by_id.keys()
+            )
             if health.in_flight
             or health.measured_at >= measured_since
             or endpoint_id in shares_by_id
         }
+        self._used_ids.intersection_update(states_by_id)
+        return states_by_id
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Calls the listener whenever an endpoint may have become usable."""
@@ -113,17 +125,6 @@
             if previous is not None:
                 self.request_shares.record_start(endpoint.id)
         self.cold.record_entry(endpoint)
-        if previous is None or previous.identity != endpoint.identity:
-            logs.event(
-                logging.INFO,
-                "Endpoint listed",
-                endpoint=endpoint.id,
-                service=endpoint.service,
-                zone=endpoint.zone,
-                leaving=endpoint.is_leaving,
-                software_version=endpoint.software_version,
-                started_ms=endpoint.started_ms,
-            )
         self._notify()
 
     def remove(self, endpoint_id: str, keep_until: float = 0.0) -> None:
@@ -172,26 +173,30 @@
           expected_s: Seconds that the request is expected to take at an
             endpoint of usual speed.
         """
-        mean_seconds_per_unit = self._mean_seconds_per_unit()
-        return sorted(
-            (
+        for part in self._list.parts(service, regions):
+            found = [
                 endpoint
-                for endpoint in self.active(service, regions)
+                for endpoint in part
                 if endpoint.id not in excluded
                 and self.is_available(endpoint.id, model)
                 and is_usable(endpoint)
                 and self.request_shares.allows(endpoint.id, waiting)
-            ),
-            key=lambda endpoint: ranking.cost(
-                self._view(endpoint, mean_seconds_per_unit, expected_s)
-            ),
-        )
+            ]
+            if found:
+                mean_seconds_per_unit = self._mean_seconds_per_unit(part)
+                return sorted(
+                    found,
+                    key=lambda endpoint: ranking.cost(
+                        self._view(endpoint, mean_seconds_per_unit, expected_s)
+                    ),
+                )
+        return []
 
     def has_endpoints(
         self, service: str, regions: frozenset[str] | None = None
     ) -> bool:
         """Returns whether the service has endpoints that accept requests."""
-        return bool(self.active(service, regions))
+        return any(self._list.parts(service, regions))
 
     def free_slots(self, endpoint: Endpoint) -> int:
         """Returns how many slots neither this process nor its peers use."""
@@ -211,15 +216,17 @@
           backoff or at their limit; None if there are none.
         """
         now = self._clock.monotonic()
+        endpoints = list(
+            itertools.chain.from_iterable(self._list.parts(service))
+        )
         limit_waits_s = (
             self.request_shares.next_share_in_s(endpoint.id)
-            for endpoint in self.active(service)
+            for endpoint in endpoints
         )
         backoff_ends = itertools.chain.from_iterable(
             (health.backoff_until, *health.backoff_until_by_model.values())
             for health in (
-                self._health_by_id[endpoint.id]
-                for endpoint in self.active(service)
+                self._health_by_id[endpoint.id] for endpoint in endpoints
             )
         )
         waits_s = itertools.chain(
@@ -243,7 +250,8 @@
             (
                 self.request_shares.seconds_until_request(endpoint.id)
                 for service in services
-                for endpoint in self.active(service, regions)
+                for part in self._list.parts(service, regions)
+                for endpoint in part
             ),
             default=0.0,
         )
@@ -252,9 +260,9 @@
         """Returns the seconds per unit of work; None if unknown."""
         health = self._health_by_id[endpoint.id]
         if self._clock.monotonic() - health.measured_at > MEASUREMENT_MAX_AGE_S:
-            state = self._fetch_peer_states().get(endpoint.id)
-            if state is not None and state.seconds_per_unit is not None:
-                return state.seconds_per_unit
+            from_peers = self._peer_state(endpoint.id).seconds_per_unit
+            if from_peers is not None:
+                return from_peers
         return health.seconds_per_unit
 
     def failure_rate(self, endpoint_id: str) -> float:
@@ -330,6 +338,7 @@
           expected_s: Seconds that the endpoint is expected to take for it.
         """
         self.request_shares.record_send(endpoint.id)
+        self._used_ids.add(endpoint.id)
         health = self._health_by_id[endpoint.id]
         now = self._clock.monotonic()
         health.begin_request(expected_s, now)
@@ -366,6 +375,7 @@
           seconds_per_unit: Measured seconds per unit of work; the unit is the
             same within a service.
         """
+        self._used_ids.add(endpoint.id)
         self._health_by_id[endpoint.id].record_success(
             seconds_per_unit, self._clock.monotonic()
         )
@@ -441,25 +451,20 @@
             self._health_by_id.pop(endpoint_id, None)
         self.request_shares.remove(endpoint_id)
         self.cold.remove(endpoint_id)
-        logs.event(logging.INFO, "Endpoint gone", endpoint=endpoint_id)
 
-    def _peer_shares(self, endpoint_id: str) -> PeerShares:
-        state = self._fetch_peer_states().get(endpoint_id)
-        return PeerShares() if state is None else state.shares
+    def _peer_state(self, endpoint_id: str) -> EndpointState:
+        return self._fetch_peer_states().get(endpoint_id, _UNUSED)
 
     def _running_requests(self, endpoint: Endpoint) -> int:
         local = self._health_by_id[endpoint.id].in_flight
-        state = self._fetch_peer_states().get(endpoint.id)
-        return local + (state.running if state else 0)
+        return local + self._peer_state(endpoint.id).running
 
     def work_left_s(self, endpoint: Endpoint) -> float:
         """Returns the seconds of work of all processes at an endpoint."""
         local_s = self._health_by_id[endpoint.id].work.left_s(
             self._clock.monotonic()
         )
-        state = self._fetch_peer_states().get(endpoint.id)
-        if state is None:
-            return local_s
+        state = self._peer_state(endpoint.id)
         # Processes of the release before tell how many requests they run only.
         return local_s + (state.work_left_s or state.running * DEFAULT_WORK_S)
 
@@ -484,11 +489,11 @@
             health.connections.has_any(self._clock.monotonic()),
         )
 
-    def _mean_seconds_per_unit(self) -> float:
+    def _mean_seconds_per_unit(self, endpoints: Iterable[Endpoint]) -> float:
         measured = [
-            health.seconds_per_unit
-            for health in self._health_by_id.values()
-            if health.seconds_per_unit is not None
+            seconds
+            for endpoint in endpoints
+            if (seconds := self._health_by_id[endpoint.id].seconds_per_unit)
         ]
         return sum(measured) / len(measured) if measured else 1.0
 
--- a/libs/dispatch/src/shallotstand/dispatch/request_handler.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_handler.py
@@ -159,10 +159,13 @@
         )
         guard = CrashRecordGuard(self._crash_record, endpoint_request)
         budget_s = _budget_s(request, route)
-        refusal = guard.refusal() or self._stop_refusal(
-            min(budget_s, self._expected_s(route, endpoint_request))
+        refusal = guard.refusal() or (
+            self._is_stopping
+            and self._stop_refusal(
+                min(budget_s, self._expected_s(route, endpoint_request))
+            )
         )
-        if refusal is not None:
+        if refusal:
             return self._refuse(request, refusal)
         result = await self._unary_dispatcher.serve(
             route,
@@ -216,6 +219,10 @@
             self._usage_meter.count_request(admitted.account.name, elapsed_s)
         return stream if answer is None else answer
 
+    @property
+    def _is_stopping(self) -> bool:
+        return self._stops_at < float("inf")
+
     def _stop_refusal(self, expected_s: float) -> Failure | None:
         """Returns the refusal of a request that would outlast the process."""
         if self._clock.monotonic() + expected_s <= self._stops_at:
--- a/libs/peers/src/shallotstand/peers/mesh.py
+++ b/libs/peers/src/shallotstand/peers/mesh.py
@@ -15,13 +15,18 @@
 from shallotstand.peers.endpoint_uses import UseReport, merge_reports
 from shallotstand.peers.registry import PeerAddress, PeerRegistry
 
-# How often a process sends its presence to its peers.
+# How often a process sends its presence to its peers, and how much less often
+# for each peer: the time that a process spends on presence messages must not
+# grow with the square of the number of processes.
 PRESENCE_INTERVAL_S = 0.4
+PRESENCE_INTERVAL_PER_PEER_S = 0.006
 # How soon after a presence the next one may tell of a change.
 MIN_PRESENCE_INTERVAL_S = 0.1
-# A connected peer that has sent no presence for this long, four intervals,
-# counts as gone.
-PEER_TIMEOUT_S = 1.6
+# A connected peer that has sent no presence for this many intervals counts as
+# gone.
+PEER_TIMEOUT_INTERVALS = 4
+# Longest time for which a connection may leave data unacknowledged.
+ACK_TIMEOUT_S = 1.6
 # A disconnected peer has this long to reconnect before it counts as gone, since
 # connections are reset more often than processes die.
 RECONNECT_GRACE_S = 0.6
@@ -31,12 +36,15 @@
 # has become reachable again. Until then, it may not have received the presence
 # of peers that started or recovered at the same time.
 PEER_VIEW_SETTLE_S = 1.5
+PEER_VIEW_SETTLE_INTERVALS = 1.25
 # An instance whose process has sent no presence for this long is dropped from
 # the local copy of the registry.
 REGISTRATION_EXPIRY_S = 90.0
-# Maximum age of the merged endpoint states. Merging takes time in proportion to
-# peers and endpoints, so it must not follow each presence message.
+# Maximum age of the merged endpoint states, and its growth for each peer.
+# Merging takes time in proportion to peers and endpoints, so it must not follow
+# each presence message.
 ENDPOINT_MERGE_INTERVAL_S = 0.05
+ENDPOINT_MERGE_INTERVAL_PER_PEER_S = 0.002
 
 
 # Takes a message and the link on which it arrived.
@@ -86,6 +94,7 @@
         self._links: set[Link] = set()
         self._links_by_process: dict[str, Link] = {}
         self._handlers_by_type: dict[type, MessageHandler] = {}
+        self._instances_by_batch: dict[str, set[str]] = {}
         self._states_by_endpoint: dict[str, EndpointState] = {}
         self._endpoints_merged_at = float("-inf")
         self._presence_sent_at = float("-inf")
@@ -103,12 +112,20 @@
             while True:
                 self._dial_missing_peers()
                 self._send_presence()
-                await asyncio.sleep(PRESENCE_INTERVAL_S)
+                await asyncio.sleep(self._presence_interval_s)
         finally:
             self._server.close()
             for task in self._dial_tasks_by_instance.values():
                 task.cancel()
 
+    @property
+    def _presence_interval_s(self) -> float:
+        return max(
+            PRESENCE_INTERVAL_S,
+            PRESENCE_INTERVAL_PER_PEER_S
+            * len(self._registry.addresses_by_instance),
+        )
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Calls the listener after each presence message of a peer."""
         self._listeners.append(listener)
@@ -152,11 +169,12 @@
         """
         zone = self._make_presence().zone
         runners = [
-            state.presence
-            for state in self._states_by_instance.values()
-            if state.presence is not None
-            and batch_id in state.presence.batches
-            and state.presence.process_id in self._links_by_process
+            presence
+            for presence in (
+                self._states_by_instance[instance].presence
+                for instance in self._instances_by_batch.get(batch_id, ())
+            )
+            if presence.process_id in self._links_by_process
         ]
         runners.sort(
             key=lambda presence: (
@@ -173,10 +191,11 @@
         """Whether all live peers have had time to report their presence."""
         if self._store_reachable_since is None:
             return False
-        return (
-            self._clock.monotonic() - self._store_reachable_since
-            > PEER_VIEW_SETTLE_S
+        settle_s = max(
+            PEER_VIEW_SETTLE_S,
+            PEER_VIEW_SETTLE_INTERVALS * self._presence_interval_s,
         )
+        return self._clock.monotonic() - self._store_reachable_since > settle_s
 
     @property
     def is_isolated(self) -> bool:
@@ -205,16 +224,13 @@
         has read.
         """
         return any(
-            batch_id in presence.batches
-            for presence in self._available_presences()
+            self._is_available(self._states_by_instance[instance])
+            for instance in self._instances_by_batch.get(batch_id, ())
         )
 
     def was_claimed(self, batch_id: str) -> bool:
         """Returns whether any peer, available or not, claims a batch."""
-        return any(
-            state.presence is not None and batch_id in state.presence.batches
-            for state in self._states_by_instance.values()
-        )
+        return batch_id in self._instances_by_batch
 
     def preferred_owner(self, name: str) -> str:
         """Returns the available process that is responsible for a task.
@@ -248,7 +264,11 @@
         The result is cached, since it is needed for each choice of an endpoint.
         """
         now = self._clock.monotonic()
-        if now - self._endpoints_merged_at > ENDPOINT_MERGE_INTERVAL_S:
+        interval_s = max(
+            ENDPOINT_MERGE_INTERVAL_S,
+            ENDPOINT_MERGE_INTERVAL_PER_PEER_S * len(self._states_by_instance),
+        )
+        if now - self._endpoints_merged_at > interval_s:
             self._endpoints_merged_at = now
             self._states_by_endpoint = self._merge_endpoint_states()
         return self._states_by_endpoint
@@ -288,7 +308,12 @@
         return (
             state.presence
             for state in self._states_by_instance.values()
-            if state.presence is not None
+            if self._is_available(state)
+        )
+
+    def _is_available(self, state: _PeerState) -> bool:
+        return (
+            state.presence is not None
             and state.presence.reaches_store
             and self._is_alive(state)
         )
@@ -296,7 +321,8 @@
     def _is_alive(self, state: _PeerState) -> bool:
         now = self._clock.monotonic()
         if state.is_connected:
-            return now - state.received_at < PEER_TIMEOUT_S
+            timeout_s = PEER_TIMEOUT_INTERVALS * self._presence_interval_s
+            return now - state.received_at < timeout_s
         return now - state.disconnected_at < RECONNECT_GRACE_S
 
     def _send_presence(self) -> None:
@@ -344,7 +370,7 @@
         instance = ""
         process_id = ""
         self._links.add(link)
-        link.set_tcp_user_timeout(PEER_TIMEOUT_S)
+        link.set_tcp_user_timeout(ACK_TIMEOUT_S)
         link.send(self._make_presence())
         for listener in self._connection_listeners:
             listener(link)
@@ -392,10 +418,27 @@
                 else "Peer lost the store",
                 peer=presence.process_id,
             )
+        if previous is None or previous.batches != presence.batches:
+            self._record_batches(presence.node, previous, presence.batches)
         state.presence = presence
         for listener in self._listeners:
             listener()
 
+    def _record_batches(
+        self,
+        instance: str,
+        previous: Presence | None,
+        batches: tuple[str, ...],
+    ) -> None:
+        """Records which batches a peer claims instead of its previous ones."""
+        for batch_id in () if previous is None else previous.batches:
+            instances = self._instances_by_batch.get(batch_id, set())
+            instances.discard(instance)
+            if not instances:
+                self._instances_by_batch.pop(batch_id, None)
+        for batch_id in batches:
+            self._instances_by_batch.setdefault(batch_id, set()).add(instance)
+
     def _record_disconnect(self, instance: str) -> None:
         state = self._peer_state(instance)
         state.is_connected = False
@@ -408,6 +451,7 @@
             return
         logs.event(logging.INFO, "Peer forgotten", peer=instance)
         self._registry.addresses_by_instance.pop(instance, None)
+        self._record_batches(instance, state.presence, ())
         self._states_by_instance.pop(instance, None)
 
     def _peer_state(self, instance: str) -> _PeerState:
--- a/libs/peers/tests/test_mesh.py
+++ b/libs/peers/tests/test_mesh.py
@@ -228,3 +228,45 @@
         assert (await asyncio.wait_for(acquiring, 3)).id == "engine"
 
     run(scenario, 2)
+
+
+def test_presence_does_not_grow_with_the_square_of_the_peers():
+    # Guards against processor time for presence messages in proportion to the
+    # square of the number of gateways: 300 of them sent each other 224,000
+    # messages a second.
+    async def scenario():
+        store = MemoryDocuments()
+        gateway = Gateway(store, "g")
+        sent_per_s = []
+        for count in (10, 60, 300):
+            for number in range(count):
+                name = f"p{number}"
+                gateway.registry.addresses_by_instance[name] = PeerAddress(
+                    name, f"{name}.1", "127.0.0.1", 1
+                )
+            sent_per_s.append(count / gateway.mesh._presence_interval_s)
+        assert gateway.mesh._presence_interval_s > PRESENCE_INTERVAL_S
+        assert sent_per_s[0] == 10 / PRESENCE_INTERVAL_S
+        assert sent_per_s[2] < 1.5 * sent_per_s[1]
+
+    asyncio.run(scenario())
+
+
+def test_claims_follow_what_peers_say_last():
+    # Guards against a batch that nobody runs but an old presence claims.
+    gateway = Gateway(MemoryDocuments(), "g")
+    mesh = gateway.mesh
+
+    def receive(*batches, node="p", reaches_store=True):
+        mesh._receive_presence(
+            Presence(node, f"{node}.1", reaches_store, (), batches)
+        )
+
+    receive("b1", "b2")
+    receive("b2", node="q")
+    assert mesh.is_batch_claimed("b1") and mesh.is_batch_claimed("b2")
+    receive("b1")
+    receive(node="q", reaches_store=False)
+    assert not mesh.was_claimed("b2")
+    receive("b1", reaches_store=False)
+    assert mesh.was_claimed("b1") and not mesh.is_batch_claimed("b1")
