--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -100,11 +100,8 @@
             endpoint_id: health.state(
                 shares_by_id.get(endpoint_id, PeerShares()), measured_since, now
             )
-            for endpoint_id, health in (
-                (endpoint_id, self._health_by_id[endpoint_id])
-                for endpoint_id in self._used_ids | shares_by_id.keys()
-            )
-            if health.in_flight
+            for endpoint_id in self._used_ids | shares_by_id.keys()
+            if (health := self._health_by_id[endpoint_id]).in_flight
             or health.measured_at >= measured_since
             or endpoint_id in shares_by_id
         }
@@ -456,8 +453,8 @@
         return self._fetch_peer_states().get(endpoint_id, _UNUSED)
 
     def _running_requests(self, endpoint: Endpoint) -> int:
-        local = self._health_by_id[endpoint.id].in_flight
-        return local + self._peer_state(endpoint.id).running
+        health = self._health_by_id[endpoint.id]
+        return health.in_flight + self._peer_state(endpoint.id).running
 
     def work_left_s(self, endpoint: Endpoint) -> float:
         """Returns the seconds of work of all processes at an endpoint."""
