--- a/apps/cli/src/shallotstand/cli/main.py
+++ b/apps/cli/src/shallotstand/cli/main.py
@@ -4,7 +4,7 @@
 from typing import Annotated, Any
 
 import cappa
-from shallotstand.cli import acts, log_trace
+from shallotstand.cli import acts, log_trace, placement
 from shallotstand.cli.client import Server
 from shallotstand.cli.output import (
     finish,
@@ -218,6 +218,50 @@
     finish(lines, json, lambda result: render_rows(result["causes"]))
 
 
+@cappa.command(
+    name="where",
+    description=_example(
+        "where quotes.example /quote/1 --metrics 127.0.0.1:9464"
+    ),
+)
+def where(
+    host: Annotated[str, cappa.Arg(help="Host of the request.")],
+    path: Annotated[str, cappa.Arg(help="Path of the request.")],
+    metrics: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env("SHALLOTSTAND_METRICS", default=""),
+            help="Metrics address of the gateway that is asked.",
+        ),
+    ],
+    account: Annotated[str, cappa.Arg(long=True, help="Client account.")] = "",
+    size: Annotated[
+        int, cappa.Arg(long=True, help="Bytes of the content.")
+    ] = 0,
+    model: Annotated[
+        str, cappa.Arg(long=True, help="Model of a batch item.")
+    ] = "",
+    min_version: Annotated[
+        int, cappa.Arg(long=True, help="Oldest weights that the item accepts.")
+    ] = 0,
+    json: Json = False,
+) -> None:
+    """Explains where a request or batch item would go now; sends nothing."""
+    report = placement.ask_gateway(
+        metrics,
+        {
+            "host": host,
+            "path": path,
+            "account": account,
+            "size": str(size),
+            "model": model,
+            "min_version": str(min_version),
+        },
+    )
+    finish(report, json, placement.render_report)
+
+
 def _group(name: str, meaning: str, *members: Callable) -> Callable:
     """Returns a command that has subcommands."""
     collected = map(cappa.collect, members)
@@ -250,6 +294,7 @@
     usage,
     trace_request,
     summarise_logs,
+    where,
     _group("report", "Reports.", report_burn),
 )
 
--- a/apps/gateway/src/shallotstand/gateway/main.py
+++ b/apps/gateway/src/shallotstand/gateway/main.py
@@ -30,6 +30,8 @@
 from shallotstand.documents.watcher import WATCH_TIMEOUT_S, DocumentWatcher
 from shallotstand.duties.usage_counts import UsageWriter
 from shallotstand.gateway.batching import BatchSubsystem, ProcessIdentity
+from shallotstand.gateway.placement_page import PATH as PLACEMENT_PATH
+from shallotstand.gateway.placement_page import PlacementPage
 from shallotstand.gateway.serving import RequestServing
 from shallotstand.link.gateway_messages import Presence
 from shallotstand.observe.event_metrics import (
@@ -111,6 +113,9 @@
             boot.instance,
             self._clock,
         )
+        metrics.pages[PLACEMENT_PATH] = PlacementPage(
+            self._serving, self._batch_subsystem.placement.choose_process
+        ).answer
         self._usage_writer = UsageWriter(
             self._store, self._serving.usage_meter, process_id, self._clock
         )
--- a/libs/dispatch/src/shallotstand/dispatch/endpoints.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoints.py
@@ -180,11 +180,11 @@
                 and self.request_shares.allows(endpoint.id, waiting)
             ]
             if found:
-                mean_seconds_per_unit = self._mean_seconds_per_unit(part)
+                mean_speed = self._mean_seconds_per_unit(part)
                 return sorted(
                     found,
                     key=lambda endpoint: ranking.cost(
-                        self._view(endpoint, mean_seconds_per_unit, expected_s)
+                        self.view(endpoint, expected_s, mean_speed)
                     ),
                 )
         return []
@@ -465,20 +465,16 @@
         # Processes of the release before tell how many requests they run only.
         return local_s + (state.work_left_s or state.running * DEFAULT_WORK_S)
 
-    def _view(
-        self,
-        endpoint: Endpoint,
-        mean_seconds_per_unit: float,
-        expected_s: float,
+    def view(
+        self, endpoint: Endpoint, expected_s: float, usual_speed: float = 1.0
     ) -> EndpointView:
+        """Returns what is known of an endpoint for a request."""
         seconds_per_unit = self.seconds_per_unit(endpoint)
         health = self._health_by_id[endpoint.id]
         return EndpointView(
             self._running_requests(endpoint),
             endpoint.slots,
-            mean_seconds_per_unit
-            if seconds_per_unit is None
-            else seconds_per_unit,
+            usual_speed if seconds_per_unit is None else seconds_per_unit,
             endpoint.zone == self._zone,
             self.failure_rate(endpoint.id),
             expected_s,
--- a/libs/observe/src/shallotstand/observe/metrics.py
+++ b/libs/observe/src/shallotstand/observe/metrics.py
@@ -1,6 +1,7 @@
 """Counters, gauges and latency histograms of one process."""
 
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from typing import Any
 
 from hdrh.histogram import HdrHistogram
 from prometheus_client import CollectorRegistry, Counter, generate_latest
@@ -105,9 +106,12 @@
       tokens: Tokens served, by client account.
       violations: Violations of conditions that must always hold, by condition;
         any value but zero should raise an alert.
+      pages: Further pages that are served beside the metrics, by path. Each
+        takes the query and returns a JSON object.
     """
 
     def __init__(self) -> None:
+        self.pages: dict[str, Callable[[Mapping[str, str]], Any]] = {}
         self._registry = CollectorRegistry()
         self.requests = self.counter(
             "requests", "Requests that ended.", "service", "code"
