Weigh the own zone and open connections by a quarter

The measured speeds of equal engines differ by more than a tenth from moment to moment, so factors of 1.1 for another zone and for a new connection decided little.

--- a/libs/dispatch/src/shallotstand/dispatch/ranking.py
+++ b/libs/dispatch/src/shallotstand/dispatch/ranking.py
@@ -11,9 +11,9 @@
 
 # Relative cost of an endpoint in another availability zone, since traffic
 # between zones is billed.
-OTHER_ZONE_FACTOR = 1.1
+OTHER_ZONE_FACTOR = 1.25
 # Relative cost of an endpoint to which a new connection has to be opened.
-NEW_CONNECTION_FACTOR = 1.1
+NEW_CONNECTION_FACTOR = 1.25
 # Relative increase of an endpoint's cost if every request on it fails.
 # Endpoints that fail fast would otherwise appear idle and attract all requests.
 FAILURE_COST_FACTOR = 12.0
