--- a/libs/batches/tests/test_hand_on.py
+++ b/libs/batches/tests/test_hand_on.py
@@ -110,9 +110,11 @@
         return self.environment.batch_registry.by_id["batch"]
 
 
-async def start_and_hand_on(store, is_known=False, is_store_away=False):
+async def start_and_hand_on(
+    store, is_known=False, is_store_away=False, pause_s=0.0
+):
     """Runs a batch at one process, which hands it on to another one."""
-    second = Process("second", store, 0.0)
+    second = Process("second", store, pause_s)
     first = Process("first", store, 0.02, PeerOf(second.service))
     await first.environment.log.add_submission(
         submission("batch", item("a"), item("b"), owner="first"),
@@ -181,13 +183,13 @@
     # Guards against items that run on after the end of their batch, which the
     # process that stops did not know of.
     async def scenario(store):
-        first, second, _ = await start_and_hand_on(store)
+        first, second, _ = await start_and_hand_on(store, pause_s=5.0)
         failure = await BatchService(
             first.environment.batch_registry, first.environment.log, CLOCK
         ).end("account", "batch", CLOCK.monotonic() + 1)
         assert failure is None
-        while second.batch.is_open:
-            await second.batch.wait_for_change(1.0)
+        await second.batch.wait_for_change(2.0)
+        assert second.batch.is_ended
 
     run(scenario)
 
