--- a/apps/standins/src/shallotstand/standins/memory_engines.py
+++ b/apps/standins/src/shallotstand/standins/memory_engines.py
@@ -6,7 +6,7 @@
 
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
-from shallotstand.dispatch.config import Route
+from shallotstand.dispatch.config import Route, RouteKind, RouteTarget
 from shallotstand.dispatch.endpoint import Endpoint
 from shallotstand.dispatch.endpoint_client import (
     EndpointRequest,
@@ -169,6 +169,29 @@
         )
 
 
+def make_route(name: str = "r", **fields: object) -> Route:
+    """Returns a route of idempotent requests to the service `engines`."""
+    return Route(
+        **{
+            "name": name,
+            "host": "h",
+            "path_prefix": "/",
+            "kind": RouteKind.IDEMPOTENT,
+            "targets": (RouteTarget("engines", 1.0),),
+            "timeout_s": 1.0,
+            "objective_s": 0.2,
+            "priority": 0,
+            "max_attempts": 3,
+            "is_public": True,
+            "is_resumable": False,
+            "results_due_s": 5.0,
+            "item_ttl_s": 30.0,
+            "is_single_version": False,
+            **fields,
+        }
+    )
+
+
 def make_endpoint(name: str, **fields: object) -> Endpoint:
     """Returns an endpoint of the service `engines`."""
     return Endpoint(
--- a/libs/dispatch/src/shallotstand/dispatch/endpoint_health.py
+++ b/libs/dispatch/src/shallotstand/dispatch/endpoint_health.py
@@ -3,8 +3,9 @@
 import collections
 
 from shallotstand.dispatch.endpoint_state import EndpointState
+from shallotstand.dispatch.idle_connections import IdleConnections
 from shallotstand.dispatch.request_shares import PeerShares
-from shallotstand.dispatch.work_ledger import IdleConnections, WorkLedger
+from shallotstand.dispatch.work_ledger import WorkLedger
 
 # Assumed work of a request whose cost is not known yet.
 DEFAULT_WORK_S = 0.1
--- a/libs/dispatch/src/shallotstand/dispatch/work_ledger.py
+++ b/libs/dispatch/src/shallotstand/dispatch/work_ledger.py
@@ -1,13 +1,10 @@
 """The work that the requests of this process still cause at an endpoint."""
 
 import bisect
-import itertools
 
 # A request that has taken longer than expected is taken to need this share of
 # what was expected: the longer one has taken, the longer it is likely to go on.
 OVERDUE_SHARE = 0.5
-# Connections that are idle for longer are taken to be closed by their endpoint.
-IDLE_TIMEOUT_S = 4.0
 
 
 class WorkLedger:
@@ -34,31 +31,3 @@
             max(ends_at - now, work_s * OVERDUE_SHARE)
             for ends_at, work_s in self._expected_ends
         )
-
-
-class IdleConnections:
-    """Estimates how many open connections to an endpoint have no request.
-
-    Requests that end well leave theirs open for the next one. Endpoints close
-    idle connections after a while.
-    """
-
-    def __init__(self) -> None:
-        self._idle_since: list[float] = []
-
-    def leave(self, now: float) -> None:
-        """Adds the connection of a request that has ended well."""
-        self._idle_since.append(now)
-
-    def take(self) -> None:
-        """Takes a connection for a request."""
-        if self._idle_since:
-            self._idle_since.pop()
-
-    def has_any(self, now: float) -> bool:
-        """Returns whether a connection is likely to be open and idle."""
-        since = now - IDLE_TIMEOUT_S
-        self._idle_since = list(
-            itertools.dropwhile(lambda idle: idle < since, self._idle_since)
-        )
-        return bool(self._idle_since)
--- a/libs/dispatch/tests/test_placement_report.py
+++ b/libs/dispatch/tests/test_placement_report.py
@@ -7,9 +7,7 @@
     ClientAccount,
     Configuration,
     Limits,
-    Route,
     RouteKind,
-    RouteTarget,
 )
 from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.placement_report import (
@@ -17,38 +15,18 @@
     explain_placement,
 )
 from shallotstand.dispatch.request_costs import RequestCosts, RequestTraits
-from shallotstand.standins.memory_engines import make_endpoint
+from shallotstand.standins.memory_engines import make_endpoint, make_route
 
 QUOTE = PlacementQuery("h", "/quote/1", "a", 100)
 ITEM = PlacementQuery("h", "/rollouts/1", "a", model="m", min_version=3)
 
 
-def make_route(name, kind, regions=None):
-    return Route(
-        name,
-        "h",
-        f"/{name}/",
-        kind,
-        (RouteTarget("engines", 1.0),),
-        1.0,
-        0.2,
-        0,
-        3,
-        True,
-        False,
-        5.0,
-        30.0,
-        False,
-        regions,
-    )
-
-
 CONFIGURATION = Configuration.from_parts(
     7,
     Limits(16384, 1 << 20, 3.0, 15.0),
     [
-        make_route("quote", RouteKind.IDEMPOTENT),
-        make_route("rollouts", RouteKind.BATCH),
+        make_route("quote", path_prefix="/quote/"),
+        make_route("rollouts", path_prefix="/rollouts/", kind=RouteKind.BATCH),
     ],
     [ClientAccount("a", frozenset(), None, frozenset({"north"}))],
     {"engines": 4.0},
--- a/libs/dispatch/tests/test_request_costs.py
+++ b/libs/dispatch/tests/test_request_costs.py
@@ -9,7 +9,6 @@
 import pytest
 from shallotstand.core.clock import ManualClock
 from shallotstand.dispatch import request_costs
-from shallotstand.dispatch.config import Route, RouteKind, RouteTarget
 from shallotstand.dispatch.cost_tracking import RequestCost
 from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.request_costs import (
@@ -101,24 +100,6 @@
     assert costs.estimate(QUOTE) is not None
 
 
-ROUTE = Route(
-    "quote",
-    "h",
-    "/",
-    RouteKind.IDEMPOTENT,
-    (RouteTarget("engines", 1.0),),
-    1.0,
-    0.2,
-    0,
-    3,
-    True,
-    False,
-    0.0,
-    0.0,
-    False,
-)
-
-
 def test_cost_and_speed_are_told_apart(costs, clock):
     # Guards against an endpoint that looks slow since it has run expensive
     # requests, and against requests that look expensive since they ran on a
--- a/libs/dispatch/tests/test_work_ledger.py
+++ b/libs/dispatch/tests/test_work_ledger.py
@@ -4,12 +4,11 @@
 from shallotstand.core.clock import ManualClock
 from shallotstand.dispatch.endpoint_state import EndpointState
 from shallotstand.dispatch.endpoints import EndpointRegistry
-from shallotstand.dispatch.work_ledger import (
+from shallotstand.dispatch.idle_connections import (
     IDLE_TIMEOUT_S,
-    OVERDUE_SHARE,
     IdleConnections,
-    WorkLedger,
 )
+from shallotstand.dispatch.work_ledger import OVERDUE_SHARE, WorkLedger
 from shallotstand.standins.memory_engines import make_endpoint
 
 
--- a/libs/dispatch/tests/test_zone_limits.py
+++ b/libs/dispatch/tests/test_zone_limits.py
@@ -6,12 +6,7 @@
 import pytest
 from shallotstand.core.clock import ManualClock
 from shallotstand.core.codes import ResultCode
-from shallotstand.dispatch.config import (
-    ClientAccount,
-    Route,
-    RouteKind,
-    RouteTarget,
-)
+from shallotstand.dispatch.config import ClientAccount
 from shallotstand.dispatch.endpoint_client import (
     EndpointRequest,
     EndpointResponse,
@@ -19,31 +14,15 @@
 from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.dispatch.plain import UnaryDispatcher
 from shallotstand.dispatch.slots import ResourceRequest, SlotPool
-from shallotstand.standins.memory_engines import MemoryEngines, make_endpoint
+from shallotstand.standins.memory_engines import (
+    MemoryEngines,
+    make_endpoint,
+    make_route,
+)
 
 REGION_BY_ZONE = {"zone-a": "north", "zone-b": "south"}
 
 
-def make_route(regions=None):
-    return Route(
-        "r",
-        "h",
-        "/",
-        RouteKind.IDEMPOTENT,
-        (RouteTarget("engines", 1.0),),
-        1.0,
-        0.2,
-        0,
-        3,
-        True,
-        False,
-        0.0,
-        0.0,
-        False,
-        regions,
-    )
-
-
 @pytest.fixture
 def registry():
     registry = EndpointRegistry(
@@ -71,12 +50,12 @@
 def test_route_and_account_both_limit_the_regions(registry):
     south = ClientAccount("a", frozenset(), None, frozenset({"south"}))
     anywhere = ClientAccount("b", frozenset(), None)
-    both = make_route(frozenset({"north", "south"}))
+    both = make_route(allowed_regions=frozenset({"north", "south"}))
     assert make_route().for_account(None).allowed_regions is None
     assert both.for_account(anywhere) is both
     assert make_route().for_account(south).allowed_regions == {"south"}
     assert both.for_account(south).allowed_regions == {"south"}
-    north = make_route(frozenset({"north"})).for_account(south)
+    north = make_route(allowed_regions=frozenset({"north"})).for_account(south)
     assert ids(registry.active("engines", north.allowed_regions)) == set()
 
 
@@ -92,7 +71,7 @@
     # Guards against a retry that leaves the regions of a route.
     engines = MemoryEngines()
     engines.answer = lambda _: EndpointResponse(500, (), b"error", "seal")
-    serve(registry, engines, make_route(frozenset({"south"})))
+    serve(registry, engines, make_route(allowed_regions=frozenset({"south"})))
     assert {call.endpoint for call in engines.sent} == {"b"}
 
 
@@ -101,7 +80,9 @@
     # has evacuated.
     registry.zone_limits.begin_evacuation("zone-b")
     engines = MemoryEngines()
-    outcome = serve(registry, engines, make_route(frozenset({"south"})))
+    outcome = serve(
+        registry, engines, make_route(allowed_regions=frozenset({"south"}))
+    )
     assert outcome.code == ResultCode.NO_ENDPOINT
     assert engines.sent == []
 
