--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -17,7 +17,9 @@
 )
 from shallotstand.standins.fleet_engine import FleetEngine
 
-ZONE = "zone-b"
+# The zone of the gateways, whose engines they prefer, and another one.
+ZONE = "zone-a"
+OTHER_ZONE = "zone-b"
 # Changes of the operator's objects are in force everywhere within this time.
 IN_FORCE_S = 2.0
 COLD_REQUESTS_PER_S = 4.0
@@ -38,12 +40,9 @@
     asyncio.run(run_with_fleet())
 
 
-async def register_in_zone(fleet, engine, **fields):
-    await fleet.platform.put(
-        "servers",
-        engine.name,
-        {**server_spec(engine), "zone": ZONE, **fields},
-    )
+async def register(fleet, engine, **fields):
+    spec = {**server_spec(engine), "zone": ZONE, **fields}
+    await fleet.platform.put("servers", engine.name, spec)
 
 
 class Callers:
@@ -79,7 +78,8 @@
     # Guards against requests to a zone that the operator has evacuated, and
     # against gateways that all return to it at once.
     async def scenario(fleet, engine):
-        await register_in_zone(fleet, engine)
+        await register(fleet, engine)
+        await register(fleet, fleet.plain_engine, zone=OTHER_ZONE)
         await set_cold_rate(fleet, "plain")
         callers = Callers(fleet)
         await callers.run_for(1.0)
@@ -120,9 +120,7 @@
                 orjson.dumps(body),
             )
             assert status == 202
-        await register_in_zone(
-            fleet, engine, cold_remaining_ms=int(COLD_S * 1000)
-        )
+        await register(fleet, engine, cold_remaining_ms=int(COLD_S * 1000))
         await asyncio.sleep(COLD_S - 0.5)
         assert before < engine.limit.count()
         assert engine.limit.busiest_second() <= MAX_IN_A_SECOND
