--- a/review/shared2/deployment.py
+++ b/review/shared2/deployment.py
@@ -409,6 +409,16 @@
                 "target_latency_ms": 192,
                 "max_attempts": 2,
             },
+            {
+                **common,
+                "name": "r-plan",
+                "path_prefix": "/plans/",
+                "kind": "safe",
+                "service": "plans",
+                "timeout_ms": 10000,
+                "target_latency_ms": 400,
+                "max_attempts": 2,
+            },
             {
                 **common,
                 "name": "r-score",
@@ -430,13 +440,16 @@
                 "tls": False,
                 "engine": {"slots": 8, "models": [{"name": MODEL}]},
             },
-            {
-                "name": "desk",
-                "health_path": "/health",
-                "max_conns": 96,
-                "protocol": "h1",
-                "tls": False,
-            },
+            *(
+                {
+                    "name": name,
+                    "health_path": "/health",
+                    "max_conns": 96,
+                    "protocol": "h1",
+                    "tls": False,
+                }
+                for name in ("desk", "plans")
+            ),
         ],
         "limits": {
             "max_header_bytes": 16384,
--- a/review/shared2/engines.py
+++ b/review/shared2/engines.py
@@ -29,6 +29,8 @@
       version: Version of its weights.
       spoil: Returns the bytes of an event instead of the given ones; takes the
         identifier of the request and the number of the event.
+      answer: Body of the answers of a plain service; that of the request if
+        empty.
       is_endless: Returns whether an answer goes on without end after its last
         event; takes the identifier of the request.
     """
@@ -59,6 +61,7 @@
         self.finished: list[str] = []
         self.orders: list[tuple[float, dict]] = []
         self.spoil: Callable[[str, int, bytes], bytes] | None = None
+        self.answer = b""
         self.is_endless: Callable[[str], bool] = lambda _: False
         self.address = ""
         self._record = record
@@ -140,7 +143,7 @@
             await asyncio.sleep(self.pause_s)
             self.finished.append(attempt_id)
             return web.Response(
-                body=body or b"ok",
+                body=self.answer or body or b"ok",
                 headers={ATTEMPT_ID: attempt_id, SEAL: f"seal.{attempt_id}"},
             )
         finally:
