--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,8 @@
-"""An answer without end fills the memory of the gateway that reads it.
+"""A spoilt version number in an event ends the gateway that reads it.
 
-Two gateways serve a trainer that sends a batch every four seconds. With the
-disruption, model engines spoil one in fifty of their answers: they go on
-without end until the gateway closes the channel.
+Two gateways serve a trainer that sends a batch every four seconds, and callers
+of a plain service. With the disruption, the model engines spoil one in fifty of
+their answers: one event names a version that is no version.
 """
 
 import asyncio
@@ -26,51 +26,48 @@
 
 ITEMS = 52
 BATCH_INTERVAL_S = 4.0
-PLAY_S = 75.0
+PLAY_S = 60.0
+# The pause of the platform before it starts a process again.
 RESTART_S = 0.5
-# Memory of a machine that takes callers; more than that ends its process.
-MEMORY_MB = 300
+# One in this many answers of the model engines is spoilt.
 SPOILT_ONE_IN = 50
+SPOILT_EVENT = 10
+SPOILT_LINE = b"x-shallotstand-weight-versions: 99999999999999999999\n"
 # The rule: processes end by themselves three times, on two machines at least.
-# Memory over the limit counts.
 ENDS, ENDS_ON = 3, 2
 
 
-def resident_mb(machine: Machine) -> float:
-    """Returns the memory of a machine's process."""
-    status = Path(f"/proc/{machine.process.pid}/status").read_text("utf-8")
-    kilobytes = next(
-        line.split()[1]
-        for line in status.splitlines()
-        if line.startswith("VmRSS:")
-    )
-    return int(kilobytes) / 1024
+class Spoiler:
+    """Spoils an event of one in fifty answers."""
 
+    def __init__(self, record: Record):
+        self._record = record
+        self._answers = 0
 
-async def limit_memory(
+    def spoil(self, attempt_id: str, number: int, event: bytes) -> bytes:
+        """Returns the bytes of an event."""
+        if number != SPOILT_EVENT:
+            return event
+        self._answers += 1
+        if self._answers % SPOILT_ONE_IN != 1:
+            return event
+        self._record.line(f"spoils event {number} of {attempt_id}")
+        return SPOILT_LINE + event
+
+
+async def restart_ended(
     deployment: Deployment, ends: collections.Counter[str]
 ) -> None:
-    """Does what the platform does with processes over their memory."""
-    reported_at = 0.0
+    """Does what the platform does with processes that end by themselves."""
     while True:
-        await asyncio.sleep(0.05)
-        sizes = {
-            machine.node: round(resident_mb(machine))
-            for machine in deployment.machines
-            if machine.is_running
-        }
-        if time.monotonic() - reported_at > 1.0:
-            reported_at = time.monotonic()
-            deployment.record.line(f"memory in MB: {sizes}")
+        await asyncio.sleep(0.1)
         for machine in deployment.machines:
-            if machine.is_running and sizes[machine.node] <= MEMORY_MB:
-                continue
             if machine.is_running:
-                machine.process.kill()
-                await machine.process.wait()
+                continue
             ends[machine.node] += 1
             deployment.record.line(
-                f"{machine.node} has ended with {sizes.get(machine.node)} MB"
+                f"{machine.node} has ended by itself with exit code "
+                f"{machine.process.returncode}"
             )
             await asyncio.sleep(RESTART_S)
             await deployment.start_process(machine)
@@ -94,6 +91,22 @@
         await asyncio.sleep(BATCH_INTERVAL_S)
 
 
+async def ask(deployment: Deployment, gateway: Machine) -> None:
+    """Sends a plain request every half second."""
+    turn = 0
+    while True:
+        await deployment.call(
+            gateway,
+            "POST",
+            "/quote/1",
+            f"q-{gateway.node}-{turn}",
+            b"ask",
+            1500,
+        )
+        turn += 1
+        await asyncio.sleep(0.5)
+
+
 async def main(record: Record, has_trouble: bool) -> bool:
     """Returns whether the rule was broken."""
     addresses = loopback_addresses()
@@ -112,22 +125,18 @@
     ]
     machines = [*gateways, Machine("storage-a-1", "keeper", next(addresses))]
     ends: collections.Counter[str] = collections.Counter()
-    answers = 0
-
-    def is_endless(_: str) -> bool:
-        nonlocal answers
-        answers += 1
-        return has_trouble and answers % SPOILT_ONE_IN == 1
-
     async with Deployment(record, drafters + desks, machines) as deployment:
         await asyncio.sleep(4.0)
-        for engine in drafters:
-            engine.is_endless = is_endless
+        if has_trouble:
+            spoiler = Spoiler(record)
+            for engine in drafters:
+                engine.spoil = spoiler.spoil
         tasks = [
             asyncio.create_task(task)
             for task in (
-                limit_memory(deployment, ends),
+                restart_ended(deployment, ends),
                 train(deployment, gateways),
+                *(ask(deployment, gateway) for gateway in gateways),
             )
         ]
         until = time.monotonic() + PLAY_S
@@ -138,6 +147,10 @@
                     task.result()
         for task in tasks:
             task.cancel()
+        for machine in machines:
+            for line in deployment.log_lines(machine):
+                if "A task has failed" in line:
+                    record.line(f"log of {machine.node}: {line}")
         record.line(f"ends by machine: {dict(ends)}")
     return sum(count >= ENDS for count in ends.values()) >= ENDS_ON
 
