--- a/review/shared2/deployment.py
+++ b/review/shared2/deployment.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Awaitable, Callable, Iterator
 
 import aiohttp
 import orjson
@@ -121,6 +122,11 @@
         self._file.flush()
 
 
+# Takes the record and whether there is the disruption; returns whether the rule
+# was broken.
+CaseMain = Callable[[Record, bool], Awaitable[bool]]
+
+
 class Machine:
     """A machine and the process that runs on it.
 
@@ -375,7 +381,7 @@
         return status, content
 
 
-def loopback_addresses() -> "iter":
+def loopback_addresses() -> Iterator[str]:
     """Yields addresses of a random part of the loopback network."""
     second, third = random.randint(10, 250), random.randint(1, 250)
     return (f"127.{second}.{third}.{number}" for number in range(1, 250))
@@ -465,12 +471,15 @@
     items: int, prefix: str, min_version: int = 1, has_scorer: bool = True
 ) -> bytes:
     """Returns the body of a batch submission as a trainer sends it."""
-    scorer = lambda number: {  # noqa: E731
-        "id": f"{prefix}-score-{number}",
-        "host": HOST,
-        "path": "/score/1",
-        "body": "3q2+7w==",
-    }
+
+    def scorer(number: int) -> dict:
+        return {
+            "id": f"{prefix}-score-{number}",
+            "host": HOST,
+            "path": "/score/1",
+            "body": "3q2+7w==",
+        }
+
     return orjson.dumps(
         {
             "step": 1,
@@ -499,7 +508,7 @@
     )
 
 
-def run_case(main: "callable", case_file: str) -> None:
+def run_case(main: CaseMain, case_file: str) -> None:
     """Runs a case, which returns whether the rule was broken, and exits."""
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(case_file).with_name("record.txt"))
@@ -515,6 +524,6 @@
     sys.exit(1 if is_broken else 0)
 
 
-async def _limited(main: "callable", record: Record, has_trouble: bool) -> bool:
+async def _limited(main: CaseMain, record: Record, has_trouble: bool) -> bool:
     async with asyncio.timeout(110):
         return await main(record, has_trouble)
--- a/review/shared2/engines.py
+++ b/review/shared2/engines.py
@@ -39,7 +39,7 @@
         self,
         name: str,
         service: str,
-        record: "Callable[[str], None]",
+        record: Callable[[str], None],
         model: str = "",
         slots: int = 8,
         events: int = 28,
