--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,8 @@
 """A spoilt version number in an event ends the gateway that reads it.
 
 Two gateways serve a trainer that sends a batch every four seconds, and callers
-of a plain service. With the disruption, the model engines spoil one in fifty of
-their answers: one event names a version that is no version.
+of a plain service. With the disruption, three of the five model engines spoil
+one in 34 of their answers: one event names a version that is no version.
 """
 
 import asyncio
@@ -30,7 +30,9 @@
 # The pause of the platform before it starts a process again.
 RESTART_S = 0.5
 # One in this many answers of the model engines is spoilt.
-SPOILT_ONE_IN = 50
+SPOILT_ONE_IN = 34
+# How many of the five model engines do so.
+SPOILING_ENGINES = 3
 SPOILT_EVENT = 10
 SPOILT_LINE = b"x-shallotstand-weight-versions: 99999999999999999999\n"
 # The rule: processes end by themselves three times, on two machines at least.
@@ -38,7 +40,7 @@
 
 
 class Spoiler:
-    """Spoils an event of one in fifty answers."""
+    """Spoils an event of one in 34 answers."""
 
     def __init__(self, record: Record):
         self._record = record
@@ -129,7 +131,7 @@
         await asyncio.sleep(4.0)
         if has_trouble:
             spoiler = Spoiler(record)
-            for engine in drafters:
+            for engine in drafters[:SPOILING_ENGINES]:
                 engine.spoil = spoiler.spoil
         tasks = [
             asyncio.create_task(task)
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,8 +1,8 @@
 """An answer without end fills the memory of the gateway that reads it.
 
 Two gateways serve a trainer that sends a batch every four seconds. With the
-disruption, model engines spoil one in fifty of their answers: they go on
-without end until the gateway closes the channel.
+disruption, three of the five model engines spoil one in 34 of their answers:
+they go on without end until the gateway closes the channel.
 """
 
 import asyncio
@@ -30,7 +30,9 @@
 RESTART_S = 0.5
 # Memory of a machine that takes callers; more than that ends its process.
 MEMORY_MB = 300
-SPOILT_ONE_IN = 50
+SPOILT_ONE_IN = 34
+# How many of the five model engines do so.
+SPOILING_ENGINES = 3
 # The rule: processes end by themselves three times, on two machines at least.
 # Memory over the limit counts.
 ENDS, ENDS_ON = 3, 2
@@ -121,7 +123,7 @@
 
     async with Deployment(record, drafters + desks, machines) as deployment:
         await asyncio.sleep(4.0)
-        for engine in drafters:
+        for engine in drafters[:SPOILING_ENGINES]:
             engine.is_endless = is_endless
         tasks = [
             asyncio.create_task(task)
