Move the response handler to the library that all HTTP clients share

No change in behaviour: the handler and its connector leave the adapter, so that clients outside the adapter can use them, too. Tests of the adapter pass.

--- /dev/null
+++ b/libs/outbound/src/shallotstand/outbound/response_handler.py
@@ -0,0 +1,147 @@
+"""Receives responses of HTTP servers within bounds."""
+
+import asyncio
+import functools
+from typing import Any
+
+import aiohttp
+from absl import logging
+from aiohttp.client_proto import ResponseHandler
+from shallotstand.core import logs
+from shallotstand.outbound.receive_budget import ReceiveBudget, Reservation
+
+# Largest number of consecutive bytes of a response that are not in its body.
+MAX_OVERHEAD_BYTES = 256 << 10
+
+
+class ResponseTooLargeError(aiohttp.ClientError):
+    """A response is larger than its receiver accepts."""
+
+
+class BoundedResponseHandler(ResponseHandler):
+    """Receives one response for each request, within bounds.
+
+    It closes a connection on which bytes arrive that belong to no request: the
+    HTTP library would keep their responses until a request takes them. It
+    gives up a response that goes on without delivering any of its body: the
+    library itself bounds status lines and headers, but not informational
+    responses, chunk extensions or trailers. What it holds outside bodies
+    counts towards the budget of all responses.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, budget: ReceiveBudget):
+        super().__init__(loop)
+        self._overhead_bytes = 0
+        self._budget = budget
+        self._reservation: Reservation | None = None
+        # Whether the head of the response to the last request is still due.
+        self._is_head_due = False
+        self._body: aiohttp.StreamReader | None = None
+        self._has_unrequested_head = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Begins to count what the connection holds."""
+        super().connection_made(transport)
+        self._reservation = self._budget.reserve(
+            lambda: str(transport.get_extra_info("peername")),
+            lambda: self._give_up("too many bytes are held"),
+        )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Returns what the connection held."""
+        if self._reservation is not None:
+            self._reservation.resize(0)
+            self._reservation = None
+        super().connection_lost(exc)
+
+    def set_response_params(self, **params: Any) -> None:
+        """Prepares for the response to a request that is about to be sent."""
+        self._is_head_due = True
+        super().set_response_params(**params)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        """Receives a parsed response head."""
+        head, body = data
+        if head.code >= 200:
+            if not self._is_head_due:
+                self._has_unrequested_head = True
+                return
+            self._is_head_due = False
+            self._body = body
+            self._overhead_bytes = 0
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        """Receives bytes from the connection.
+
+        The HTTP library also calls this without bytes, to go on parsing.
+        """
+        if data and not self._is_receiving():
+            self._close_after_unrequested(len(data))
+            return
+        self._receive(data)
+        if self._has_unrequested_head:
+            self._close_after_unrequested(len(data))
+
+    def _is_receiving(self) -> bool:
+        """Returns whether bytes are due that belong to a request."""
+        return self._is_head_due or (
+            self._body is not None and not self._body.is_eof()
+        )
+
+    def _close_after_unrequested(self, size: int) -> None:
+        if self.transport is None:
+            return
+        logs.event(
+            logging.INFO,
+            "Connection closed after unrequested bytes",
+            address=self.transport.get_extra_info("peername"),
+            bytes=size,
+        )
+        self.transport.abort()
+
+    def _receive(self, data: bytes) -> None:
+        """Parses bytes that belong to a request."""
+        payload_before = self._payload
+        body_bytes_before = payload_before.total_bytes if payload_before else 0
+        super().data_received(data)
+        payload = self._payload
+        if payload is not None and (
+            payload is not payload_before
+            or payload.total_bytes > body_bytes_before
+        ):
+            self._overhead_bytes = 0
+        else:
+            self._overhead_bytes += len(data)
+        if self._overhead_bytes > MAX_OVERHEAD_BYTES:
+            self._give_up("no part of the body")
+        elif self._reservation is not None:
+            self._reservation.resize(self._overhead_bytes)
+
+    def _give_up(self, reason: str) -> None:
+        """Closes the connection; the receiver of the response fails."""
+        error = ResponseTooLargeError(
+            f"{self._overhead_bytes} bytes outside the body: {reason}"
+        )
+        self.set_exception(error)
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
+
+
+class BoundedConnector(aiohttp.TCPConnector):
+    """Opens connections whose responses a `BoundedResponseHandler` receives."""
+
+    def __init__(self, budget: ReceiveBudget, **options: Any):
+        """Creates a connector without connections.
+
+        Args:
+          budget: Bounds what all of its incomplete responses hold.
+          **options: Further arguments of aiohttp's connector.
+        """
+        super().__init__(**options)
+        self._factory = functools.partial(
+            BoundedResponseHandler, loop=self._loop, budget=budget
+        )
