Take a body without a length for whole only after a plain close

Callers saw a part of an answer as the whole: an engine answered a 6 MB upload with a 200 without a length, sent part of the body and reset the connection. Gateways took the same from the platform's store and from reports of engines, also without an upload.

Cause: aiohttp ends a body without a length when its connection ends, however that happens. `ResponseCompleteness` looked afterwards whether the connection had an error, and only requests and streams used it. While the request's body is still being written, the connection is released late: after the error was recorded, when the response is closed. Releasing it forgets the error, and the check found none. For a GET it is released first, so the error remained.

Ruled out: streams and items, which are checked before they are closed; bodies with a length or in chunks, which end by themselves.

The handler of each connection now learns of the peer's orderly end (`eof_received`) and lets a body that is still due at the end of the connection fail otherwise. This does not depend on when anybody looks, and holds for all that the adapter reads.

--- a/libs/outbound/src/shallotstand/outbound/response_handler.py
+++ b/libs/outbound/src/shallotstand/outbound/response_handler.py
@@ -27,6 +27,10 @@
     library itself bounds status lines and headers, but not informational
     responses, chunk extensions or trailers. What it holds outside bodies
     counts towards the budget of all responses.
+
+    A body without a length is complete only if the peer has ended its side of
+    the connection in order. The library also takes it for complete after a
+    reset.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, budget: ReceiveBudget):
@@ -38,6 +42,7 @@
         self._is_head_due = False
         self._body: aiohttp.StreamReader | None = None
         self._has_unrequested_head = False
+        self._has_peer_finished = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begins to count what the connection holds."""
@@ -47,11 +52,26 @@
             lambda: self._give_up("too many bytes are held"),
         )
 
+    def eof_received(self) -> None:
+        """Learns that the peer sends nothing more."""
+        super().eof_received()
+        self._has_peer_finished = True
+
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Returns what the connection held."""
+        """Returns what the connection held; an incomplete body fails."""
         if self._reservation is not None:
             self._reservation.resize(0)
             self._reservation = None
+        if (
+            self._is_body_due()
+            and not self._has_peer_finished
+            and self._body.exception() is None
+        ):
+            self._body.set_exception(
+                aiohttp.ClientPayloadError(
+                    f"The connection ended within the body: {exc!r}"
+                )
+            )
         super().connection_lost(exc)
 
     def set_response_params(self, **params: Any) -> None:
@@ -85,9 +105,11 @@
 
     def _is_receiving(self) -> bool:
         """Returns whether bytes are due that belong to a request."""
-        return self._is_head_due or (
-            self._body is not None and not self._body.is_eof()
-        )
+        return self._is_head_due or self._is_body_due()
+
+    def _is_body_due(self) -> bool:
+        """Returns whether a body is not complete yet."""
+        return self._body is not None and not self._body.is_eof()
 
     def _close_after_unrequested(self, size: int) -> None:
         if self.transport is None:
--- /dev/null
+++ b/tests/answers/test_resets.py
@@ -0,0 +1,34 @@
+"""Answers without a length: whole after a plain close, cut after a reset."""
+
+import pytest
+from shallotstand.standins.early_http import Ending
+
+from .conftest import LOOPS, call_reader
+from .readers import READERS
+
+# With 0 the connection ends before the reader has seen the answer's head.
+PAUSES_S = [0.0, 0.02]
+
+
+@pytest.mark.parametrize("pause_s", PAUSES_S)
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("name", READERS)
+def test_reset_answer_is_never_whole(name, loop, pause_s):
+    # Guards against a part of an answer that counts as the whole: the error of
+    # the connection was forgotten if the request was still being written.
+    reader = READERS[name]
+    answer = reader.head() + reader.body
+    outcome = call_reader(reader, answer, Ending.RESET, loop, pause_s)
+    assert reader.is_broken(outcome), outcome
+
+
+@pytest.mark.parametrize("pause_s", PAUSES_S)
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("name", READERS)
+def test_answer_that_a_plain_close_ends_is_whole(name, loop, pause_s):
+    # Guards against a sound answer that is refused, since its connection ended
+    # before the answer was looked at.
+    reader = READERS[name]
+    answer = reader.head() + reader.body
+    outcome = call_reader(reader, answer, Ending.CLOSE, loop, pause_s)
+    assert reader.is_accepted(outcome), outcome
--- /dev/null
+++ b/tests/test_broken_answers.py
@@ -0,0 +1,116 @@
+"""Real gateways beside an engine whose answers are broken."""
+
+import asyncio
+
+import orjson
+import pytest
+from shallotstand.standins.early_http import REQUEST_ID, EarlyServer, Ending
+from shallotstand.standins.fleet import (
+    Fleet,
+    batch_submission,
+    results_path,
+    server_spec,
+)
+
+UPLOAD = b"x" * 6_000_000
+CALLS = 8
+ITEMS = 8
+EVENTS = b"".join(b"id: %d\ndata: part\n\n" % number for number in (1, 2, 3))
+
+
+def answer_head(status=b"200 OK", *lines):
+    return b"\r\n".join(
+        (
+            b"HTTP/1.1 " + status,
+            b"X-Shallotstand-Attempt-Id: " + REQUEST_ID,
+            b"X-Shallotstand-Server-Seal: seal",
+            b"X-Shallotstand-Weight-Versions: 1",
+            *lines,
+            b"",
+            b"",
+        )
+    )
+
+
+BROKEN = {
+    "reset": (answer_head(), Ending.RESET),
+}
+
+
+async def replace_engine(fleet, engine, server):
+    """Registers a server in place of an engine."""
+    spec = {**server_spec(engine), "address": server.address}
+    await fleet.platform.put("servers", engine.name, spec)
+
+
+def run_beside_broken_engine(directory, body, name, engine_of, scenario):
+    head, ending = BROKEN[name]
+
+    async def run():
+        async with (
+            EarlyServer(head + body, ending) as server,
+            Fleet(directory, 1) as fleet,
+        ):
+            await replace_engine(fleet, engine_of(fleet), server)
+            # The gateway reads the list of engines again.
+            await asyncio.sleep(1.0)
+            await asyncio.wait_for(scenario(fleet, server), 40)
+            assert server.request_count
+            assert "A task has failed" not in fleet.gateways[
+                0
+            ].log_path.read_text("utf-8")
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("path", ["/plain/a", "/once/a"])
+@pytest.mark.parametrize("name", BROKEN)
+def test_caller_never_gets_a_broken_answer(tmp_path, name, path):
+    # Guards against a part of an answer, or bytes that are no answer, that
+    # reach a caller as the answer to its upload.
+    async def scenario(fleet, server):
+        (gateway,) = fleet.gateways
+        for number in range(CALLS):
+            sent_before = server.request_count
+            status, body = await fleet.call(
+                gateway, "POST", path, f"c{number}", UPLOAD
+            )
+            code = orjson.loads(body)["error"]["code"]
+            # What was sent has an unknown outcome. The engine may count as
+            # unhealthy after that; then nothing is sent.
+            if server.request_count > sent_before:
+                assert (status, code // 100) == (502, 20)
+            else:
+                assert status == 503
+
+    run_beside_broken_engine(
+        tmp_path, b"part", name, lambda fleet: fleet.plain_engine, scenario
+    )
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_items_never_hold_a_broken_answer(tmp_path, name):
+    # Guards against a text of a batch that ends where a broken answer ended.
+    async def scenario(fleet, _):
+        (gateway,) = fleet.gateways
+        _, sound = fleet.engines
+        body = orjson.dumps(batch_submission(ITEMS))
+        status, _ = await fleet.call(gateway, "POST", "/rollouts/1", "b1", body)
+        assert status == 202
+        results = []
+        while len(results) < ITEMS:
+            status, body = await fleet.call(
+                gateway, "GET", results_path("b1", len(results)), "read"
+            )
+            assert status == 200
+            results += orjson.loads(body)["results"]
+        for result in results:
+            lines = result["text"].split("\n")
+            own_lines = sound.item_text(result["id"]).split("\n")
+            # Whole events before the break may be kept.
+            kept = 3 if name == "reset" and lines[0] == "part" else 0
+            assert lines == ["part"] * kept + own_lines[kept:]
+
+    run_beside_broken_engine(
+        tmp_path, EVENTS, name, lambda fleet: fleet.engines[0], scenario
+    )
