Don't wait for a request to be written once its answer is complete

Callers saw a timeout in place of a sound answer: an engine answers a 6 MB upload early and without a length, ends its side of the connection in order and reads no more.

Cause: after the peer's end the event loop closes a connection only once all that is to be written has been written, and aiohttp completes a body without a length when the connection is closed.

Evidence: the cases CLOSE_UNREAD of `test_answer_that_a_plain_close_ends_is_whole`: 20 of 180 cases failed before. An answer with a length was not affected.

The peer's orderly end completes such a body, so the connection is closed at once then. After: all cases pass.

--- a/libs/outbound/src/shallotstand/outbound/response_handler.py
+++ b/libs/outbound/src/shallotstand/outbound/response_handler.py
@@ -56,6 +56,10 @@
         """Learns that the peer sends nothing more."""
         super().eof_received()
         self._has_peer_finished = True
+        if self._is_body_due() and self.transport is not None:
+            # Otherwise the response would wait for the rest of its request to
+            # be written, which the peer may never read.
+            self.transport.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Returns what the connection held; an incomplete body fails."""
--- a/tests/answers/test_resets.py
+++ b/tests/answers/test_resets.py
@@ -23,12 +23,13 @@
 
 
 @pytest.mark.parametrize("pause_s", PAUSES_S)
+@pytest.mark.parametrize("ending", [Ending.CLOSE, Ending.CLOSE_UNREAD])
 @pytest.mark.parametrize("loop", LOOPS)
 @pytest.mark.parametrize("name", READERS)
-def test_answer_that_a_plain_close_ends_is_whole(name, loop, pause_s):
-    # Guards against a sound answer that is refused, since its connection ended
-    # before the answer was looked at.
+def test_answer_that_a_plain_close_ends_is_whole(name, loop, ending, pause_s):
+    # Guards against a sound answer that is refused, or waits for the rest of
+    # the request to be written to a server that reads no more.
     reader = READERS[name]
     answer = reader.head() + reader.body
-    outcome = call_reader(reader, answer, Ending.CLOSE, loop, pause_s)
+    outcome = call_reader(reader, answer, ending, loop, pause_s)
     assert reader.is_accepted(outcome), outcome
