--- a/tests/answers/readers.py
+++ b/tests/answers/readers.py
@@ -96,7 +96,7 @@
     )
 
 
-def _request(method="POST", body=UPLOAD, is_repeatable=True):
+def send_request(method="POST", body=UPLOAD, is_repeatable=True):
     async def call(address: str) -> Any:
         request = EndpointRequest(
             method, "/a", "host", (), body, "r1", None, is_repeatable
@@ -160,10 +160,10 @@
 _REPORT = (ResultCode.ENDPOINT_BAD_ANSWER,)
 
 READERS: dict[str, Reader] = {
-    "read": Reader(_request("GET", b""), UNKNOWN_CODES, headers=OWN),
-    "upload": Reader(_request(), UNKNOWN_CODES, headers=OWN),
+    "read": Reader(send_request("GET", b""), UNKNOWN_CODES, headers=OWN),
+    "upload": Reader(send_request(), UNKNOWN_CODES, headers=OWN),
     "upload once": Reader(
-        _request(is_repeatable=False), UNKNOWN_CODES, headers=OWN
+        send_request(is_repeatable=False), UNKNOWN_CODES, headers=OWN
     ),
     "stream": Reader(_stream(b"b"), UNKNOWN_CODES, body=EVENT, headers=OWN),
     "stream of an upload": Reader(
