--- a/tests/answers/readers.py
+++ b/tests/answers/readers.py
@@ -8,11 +8,13 @@
 from shallotstand.adapter.engine_control import HttpEngineControl
 from shallotstand.adapter.engines import HttpEndpointClient
 from shallotstand.adapter.store import PlatformStore
+from shallotstand.adapter.usage_sink import PlatformUsageSink
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.endpoint_client import EndpointRequest
 from shallotstand.dispatch.endpoints import EndpointRegistry
+from shallotstand.duties.weight_updates import OrderOutcome, VersionOrder
 from shallotstand.outbound.receive_budget import ReceiveBudget
 from shallotstand.standins.memory_engines import make_endpoint
 
@@ -146,6 +148,12 @@
     return call
 
 
+async def _usage(address: str) -> Any:
+    counts = {f"account-{number}": number for number in range(200_000)}
+    async with _closing(PlatformUsageSink(_tcp_address(address), "n")) as sink:
+        return await sink.send_report(1, counts, 1, BUDGET_S)
+
+
 def _store(operation):
     async def call(address: str) -> Any:
         async with _closing(PlatformStore(_tcp_address(address))) as store:
@@ -154,6 +162,7 @@
     return call
 
 
+_ORDER = VersionOrder("model", 3, 9, 2, BUDGET_S)
 _LARGE = {"text": "x" * 6_000_000}
 _UNKNOWN_WRITE = (ResultCode.OUTCOME_UNKNOWN,)
 _UNAVAILABLE = (ResultCode.STORE_UNAVAILABLE,)
@@ -180,6 +189,15 @@
         _REPORT,
         body=b'{"models":[],"busy":false,"seq":1}',
     ),
+    "order": Reader(
+        _control(
+            lambda control, endpoint: control.send_order(endpoint, _ORDER)
+        ),
+        (OrderOutcome.UNKNOWN,),
+        "202 Accepted",
+        b"{}",
+    ),
+    "usage": Reader(_usage, _UNKNOWN_WRITE, body=b"{}"),
     "store get": Reader(
         _store(lambda store: store.get("kind", "name")),
         _UNAVAILABLE,
--- a/tests/answers/test_resets.py
+++ b/tests/answers/test_cut_answers.py
@@ -1,4 +1,4 @@
-"""Answers without a length: whole after a plain close, cut after a reset."""
+"""Answers that break off are never taken for whole ones."""
 
 import pytest
 from shallotstand.standins.early_http import Ending
@@ -22,6 +22,27 @@
     assert reader.is_broken(outcome), outcome
 
 
+def cut_answer(reader, framing):
+    """Returns an answer that ends within its body."""
+    if framing == "length":
+        return reader.whole()[:-1]
+    size = len(reader.body) + (framing == "chunk")
+    chunk = b"%x\r\n%b" % (size, reader.body)
+    return reader.head(b"Transfer-Encoding: chunked") + chunk
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("ending", [Ending.CLOSE, Ending.RESET])
+@pytest.mark.parametrize("framing", ["length", "chunk", "last chunk"])
+@pytest.mark.parametrize("name", READERS)
+def test_answer_short_of_its_length_is_never_whole(name, framing, ending, loop):
+    # Guards against a status that counts although its answer broke off.
+    reader = READERS[name]
+    answer = cut_answer(reader, framing)
+    outcome = call_reader(reader, answer, ending, loop)
+    assert reader.is_broken(outcome), outcome
+
+
 @pytest.mark.parametrize("pause_s", PAUSES_S)
 @pytest.mark.parametrize("ending", [Ending.CLOSE, Ending.CLOSE_UNREAD])
 @pytest.mark.parametrize("loop", LOOPS)
