Refuse answers whose status is not one of a final answer

Callers saw answers with the status 000, 099, 101, 600 or 999 of an engine in trouble. A write to the store counted as done if its answer had the status 000 or 099.

Cause: aiohttp takes any three digits for a status, and a 101 for a final answer although nothing asked for another protocol. The readers asked whether a status is below 300 or 500.

Ruled out: statuses with fewer or more digits, which the library refuses.

The connection's handler checks each head as it arrives, before any reader gets it, and closes the connection. Informational answers are passed over as before. What follows in the same bytes is not used either.

--- a/libs/outbound/src/shallotstand/outbound/response_handler.py
+++ b/libs/outbound/src/shallotstand/outbound/response_handler.py
@@ -9,6 +9,7 @@
 from aiohttp.client_proto import ResponseHandler
 from shallotstand.core import logs
 from shallotstand.outbound.receive_budget import ReceiveBudget, Reservation
+from shallotstand.outbound.response_heads import find_problem, is_informational
 
 # Largest number of consecutive bytes of a response that are not in its body.
 MAX_OVERHEAD_BYTES = 256 << 10
@@ -18,6 +19,10 @@
     """A response is larger than its receiver accepts."""
 
 
+class InvalidResponseError(aiohttp.ClientError):
+    """The bytes of a peer are not a response."""
+
+
 class BoundedResponseHandler(ResponseHandler):
     """Receives one response for each request, within bounds.
 
@@ -86,11 +91,15 @@
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Receives a parsed response head."""
         head, body = data
-        if head.code >= 200:
+        if not is_informational(head):
             if not self._is_head_due:
                 self._has_unrequested_head = True
                 return
             self._is_head_due = False
+            problem = find_problem(head)
+            if problem is not None:
+                self._refuse(problem)
+                return
             self._body = body
             self._overhead_bytes = 0
         super().feed_data(data, size)
@@ -144,6 +153,12 @@
         elif self._reservation is not None:
             self._reservation.resize(self._overhead_bytes)
 
+    def _refuse(self, problem: str) -> None:
+        """Closes the connection; the request on it fails."""
+        self.set_exception(InvalidResponseError(problem))
+        if self.transport is not None:
+            self.transport.abort()
+
     def _give_up(self, reason: str) -> None:
         """Closes the connection; the receiver of the response fails."""
         error = ResponseTooLargeError(
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -32,8 +32,14 @@
     )
 
 
+def whole_answer(body, status=b"200 OK", *lines):
+    return answer_head(status, b"Content-Length: %d" % len(body), *lines) + body
+
+
+# What an engine sends as its answer with a body, and how it goes on.
 BROKEN = {
-    "reset": (answer_head(), Ending.RESET),
+    "reset": (lambda body: answer_head() + body, Ending.RESET),
+    "status 000": (lambda body: whole_answer(body, b"000 Odd"), Ending.KEEP),
 }
 
 
@@ -44,11 +50,11 @@
 
 
 def run_beside_broken_engine(directory, body, name, engine_of, scenario):
-    head, ending = BROKEN[name]
+    encode, ending = BROKEN[name]
 
     async def run():
         async with (
-            EarlyServer(head + body, ending) as server,
+            EarlyServer(encode(body), ending) as server,
             Fleet(directory, 1) as fleet,
         ):
             await replace_engine(fleet, engine_of(fleet), server)
