Refuse bodies in a transfer coding that no request asks for

Callers saw the bytes of a coding as the content, for example with `Transfer-Encoding: chunked, gzip` or `gzip, chunked`; with also a part of it as the whole, since a body whose coding merely contains the word `chunked` counted as one that ends by itself.

Cause: only a list that ends with `chunked` delimits a body; aiohttp reads any other until the connection ends, undoes no other coding, and says so nowhere.

No request sends TE, so a server may use chunks and nothing else (RFC 9112, section 7.4), as for content codings, which are refused already. `identity` changes nothing and passes.

--- a/libs/outbound/src/shallotstand/outbound/response_heads.py
+++ b/libs/outbound/src/shallotstand/outbound/response_heads.py
@@ -1,11 +1,17 @@
 """Checks heads of responses that the HTTP library accepts too easily."""
 
+from aiohttp import hdrs
 from aiohttp.http import RawResponseMessage
 
 _MIN_STATUS = 100
 _MAX_STATUS = 599
 _SWITCHING_PROTOCOLS = 101
 _MIN_FINAL_STATUS = 200
+# Most characters of a field that an error quotes.
+_MAX_QUOTED = 40
+# Requests ask for no transfer coding, which still allows chunks; `identity`
+# leaves the content as it is.
+_TRANSFER_CODINGS = ("chunked", "identity")
 
 
 def is_informational(head: RawResponseMessage) -> bool:
@@ -27,4 +33,8 @@
         or head.code == _SWITCHING_PROTOCOLS
     ):
         return f"status {head.code:03}"
+    codings = head.headers.getall(hdrs.TRANSFER_ENCODING, ())
+    coding = ",".join(codings).strip().lower()
+    if codings and coding not in _TRANSFER_CODINGS:
+        return f"transfer coding {coding[:_MAX_QUOTED]!r}"
     return None
