Refuse answers with a line in their head that begins with a blank

Callers saw such a line joined with the field above it, or as a field of its own if it was the first one.

Cause: aiohttp parses responses leniently, which includes the old folding of lines. Nothing of that is left in what it parsed, so no reader could tell.

The connection's handler looks at the bytes of each head, informational ones included, until their end, which needs no copy of them. Servers must not send such lines, and a proxy has to refuse or replace them (RFC 9112, section 5.2).

--- a/libs/outbound/src/shallotstand/outbound/response_handler.py
+++ b/libs/outbound/src/shallotstand/outbound/response_handler.py
@@ -9,7 +9,11 @@
 from aiohttp.client_proto import ResponseHandler
 from shallotstand.core import logs
 from shallotstand.outbound.receive_budget import ReceiveBudget, Reservation
-from shallotstand.outbound.response_heads import find_problem, is_informational
+from shallotstand.outbound.response_heads import (
+    HeadLines,
+    find_problem,
+    is_informational,
+)
 
 # Largest number of consecutive bytes of a response that are not in its body.
 MAX_OVERHEAD_BYTES = 256 << 10
@@ -45,6 +49,7 @@
         self._reservation: Reservation | None = None
         # Whether the head of the response to the last request is still due.
         self._is_head_due = False
+        self._head_lines = HeadLines()
         self._body: aiohttp.StreamReader | None = None
         self._has_unrequested_head = False
         self._has_peer_finished = False
@@ -86,22 +91,31 @@
     def set_response_params(self, **params: Any) -> None:
         """Prepares for the response to a request that is about to be sent."""
         self._is_head_due = True
+        self._head_lines = HeadLines()
         super().set_response_params(**params)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
         """Receives a parsed response head."""
         head, body = data
-        if not is_informational(head):
-            if not self._is_head_due:
-                self._has_unrequested_head = True
-                return
-            self._is_head_due = False
-            problem = find_problem(head)
-            if problem is not None:
-                self._refuse(problem)
-                return
-            self._body = body
-            self._overhead_bytes = 0
+        if is_informational(head):
+            self._head_lines = self._head_lines.next_head()
+            super().feed_data(data, size)
+            return
+        if not self._is_head_due:
+            self._has_unrequested_head = True
+            return
+        self._is_head_due = False
+        problem = (
+            "a line begins with a blank"
+            if self._head_lines.has_continuation
+            else find_problem(head)
+        )
+        self._head_lines = HeadLines()
+        if problem is not None:
+            self._refuse(problem)
+            return
+        self._body = body
+        self._overhead_bytes = 0
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
@@ -137,6 +151,8 @@
 
     def _receive(self, data: bytes) -> None:
         """Parses bytes that belong to a request."""
+        if self._is_head_due:
+            self._head_lines.feed(data)
         payload_before = self._payload
         body_bytes_before = payload_before.total_bytes if payload_before else 0
         super().data_received(data)
--- a/libs/outbound/src/shallotstand/outbound/response_heads.py
+++ b/libs/outbound/src/shallotstand/outbound/response_heads.py
@@ -1,5 +1,7 @@
 """Checks heads of responses that the HTTP library accepts too easily."""
 
+import re
+
 from aiohttp import hdrs
 from aiohttp.http import RawResponseMessage
 
@@ -12,6 +14,8 @@
 # Requests ask for no transfer coding, which still allows chunks; `identity`
 # leaves the content as it is.
 _TRANSFER_CODINGS = ("chunked", "identity")
+# The start of a line that begins with a blank, or the end of a head.
+_LINE_START = re.compile(rb"\n(?:(?P<blank>[ \t])|\r?\n)")
 
 
 def is_informational(head: RawResponseMessage) -> bool:
@@ -38,3 +42,47 @@
     if codings and coding not in _TRANSFER_CODINGS:
         return f"transfer coding {coding[:_MAX_QUOTED]!r}"
     return None
+
+
+class HeadLines:
+    """Looks for lines of a head that begin with a blank.
+
+    Servers must not send them (RFC 9112, section 5.2). The HTTP library joins
+    such a line with the field above it, or takes it for a field of its own.
+
+    Attributes:
+      has_continuation: Whether there was such a line.
+    """
+
+    def __init__(self) -> None:
+        self.has_continuation = False
+        self._has_begun = False
+        # What may matter of the bytes so far; all that is known to follow the
+        # head once that has ended.
+        self._text = b""
+        self._end: int | None = None
+
+    def feed(self, data: bytes) -> None:
+        """Reads bytes, up to the end of the head."""
+        if self._end is not None:
+            return
+        text = self._text + data
+        if not self._has_begun:
+            # A response may follow empty lines.
+            text = text.lstrip(b"\r\n")
+            self._has_begun = bool(text)
+        match = _LINE_START.search(text)
+        if match is None:
+            # A line end may arrive in two parts.
+            self._text = text[-2:]
+        elif match["blank"]:
+            self.has_continuation = True
+        else:
+            self._text, self._end = text, match.end()
+
+    def next_head(self) -> "HeadLines":
+        """Returns the lines of the head that follows in the bytes so far."""
+        following = HeadLines()
+        following.has_continuation = self.has_continuation
+        following.feed(self._text[self._end :])
+        return following
--- a/tests/answers/test_heads.py
+++ b/tests/answers/test_heads.py
@@ -26,3 +26,43 @@
     answer = reader.whole(status="000 Odd") + reader.whole()
     outcome = call_reader(reader, answer)
     assert reader.is_broken(outcome), outcome
+
+
+# Lines that are no field: with a blank first, in a name, or without a name.
+LINES = [
+    b" continued",
+    b"\tcontinued",
+    b" X-Own: 1",
+    b"X Own: 1",
+    b"X-Own : 1",
+    b"X\tOwn: 1",
+    b"X\x00Own: 1",
+    b"X\x01Own: 1",
+    b"X\x7fOwn: 1",
+    b"X-Own",
+    b": 1",
+]
+
+
+@pytest.mark.parametrize("is_first", [False, True])
+@pytest.mark.parametrize("line", LINES)
+@pytest.mark.parametrize("name", READERS)
+def test_line_that_is_no_field_is_no_answer(name, line, is_first):
+    # Guards against a line that is passed on as part of another field or as a
+    # field of its own, and against a body that ends where such a line says.
+    reader = READERS[name]
+    answer = (
+        reader.whole().replace(b"\r\n", b"\r\n" + line + b"\r\n", 1)
+        if is_first
+        else reader.whole(b"X-Other: 1", line)
+    )
+    outcome = call_reader(reader, answer)
+    assert reader.is_broken(outcome), outcome
+
+
+@pytest.mark.parametrize("name", READERS)
+def test_line_of_an_informational_answer_that_is_no_field(name):
+    reader = READERS[name]
+    informational = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n b\r\n\r\n"
+    outcome = call_reader(reader, informational + reader.whole())
+    assert reader.is_broken(outcome), outcome
--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -39,6 +39,10 @@
 # What an engine sends as its answer with a body, and how it goes on.
 BROKEN = {
     "reset": (lambda body: answer_head() + body, Ending.RESET),
+    "continued line": (
+        lambda body: whole_answer(body, b"200 OK", b"X-Own: 1", b" more"),
+        Ending.KEEP,
+    ),
     "status 000": (lambda body: whole_answer(body, b"000 Odd"), Ending.KEEP),
 }
 
