Receive all HTTP answers through the checked handler

The command line, the load generator and the clients of the first programs (engines, object store) took parts of answers for whole ones, impossible statuses for statuses and so on, as the adapter did. An order to an engine counted as carried out by its status, whatever became of the answer.

Cause: they used aiohttp's own connector, and had none of the adapter's checks.

They use `BoundedConnector`, which also bounds what is outside of bodies and closes connections on which unrequested bytes arrive. `HttpEngine.order` reads the answer before it judges it.

--- a/apps/cli/src/shallotstand/cli/client.py
+++ b/apps/cli/src/shallotstand/cli/client.py
@@ -8,6 +8,7 @@
 import orjson
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import ErrorDetail, Failure
+from shallotstand.outbound.response_handler import BoundedConnector
 from shallotstand.outbound.single_send import send_once
 
 _CONNECT_TIMEOUT_S = 3.0
@@ -61,7 +62,9 @@
     try:
         async with (
             aiohttp.ClientSession(
-                timeout=timeout, middlewares=(send_once,)
+                connector=BoundedConnector(),
+                timeout=timeout,
+                middlewares=(send_once,),
             ) as session,
             session.request(
                 method,
--- a/apps/cli/src/shallotstand/cli/placement.py
+++ b/apps/cli/src/shallotstand/cli/placement.py
@@ -9,6 +9,7 @@
 from shallotstand.cli.output import render_fields, render_rows
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
+from shallotstand.outbound.response_handler import BoundedConnector
 from shallotstand.outbound.single_send import send_once
 
 _TIMEOUT_S = 5.0
@@ -36,6 +37,7 @@
     try:
         async with (
             aiohttp.ClientSession(
+                connector=BoundedConnector(),
                 timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
                 middlewares=(send_once,),
             ) as session,
--- a/apps/load/src/shallotstand/load/runner.py
+++ b/apps/load/src/shallotstand/load/runner.py
@@ -11,6 +11,7 @@
 from shallotstand.load.figures import BROKEN, WRONG, Figures, Outcome
 from shallotstand.load.plan import PlannedRequest
 from shallotstand.load.settings import LoadSettings
+from shallotstand.outbound.response_handler import BoundedConnector
 
 _PROGRESS_INTERVAL_S = 1.0
 _DONE = b"data: [DONE]\n\n"
@@ -32,7 +33,7 @@
 
     async def run(self, plan: Iterable[PlannedRequest]) -> None:
         """Sends every request at its time and waits for all answers."""
-        connector = aiohttp.TCPConnector(limit=self._settings.max_in_flight)
+        connector = BoundedConnector(limit=self._settings.max_in_flight)
         timeout = aiohttp.ClientTimeout(total=self._settings.timeout_s)
         progress = asyncio.create_task(self._report_progress())
         async with aiohttp.ClientSession(
--- a/libs/engine/src/shallotstand/engine/http.py
+++ b/libs/engine/src/shallotstand/engine/http.py
@@ -14,6 +14,7 @@
     EngineOrder,
     EngineRequest,
 )
+from shallotstand.outbound.response_handler import BoundedConnector
 from shallotstand.outbound.single_send import send_once
 
 _CONNECT_TIMEOUT_S = 1.0
@@ -56,7 +57,7 @@
     def _client(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=_MAX_CONNECTIONS),
+                connector=BoundedConnector(limit=_MAX_CONNECTIONS),
                 auto_decompress=False,
                 middlewares=(send_once,),
             )
@@ -134,6 +135,8 @@
                 },
                 timeout=aiohttp.ClientTimeout(total=order.timeout_s),
             ) as response:
+                # An answer that breaks off says nothing.
+                reason = await response.text(errors="replace")
                 if response.status == 200:
                     return None
                 code = (
@@ -141,7 +144,7 @@
                     if response.status == 409
                     else ResultCode.ORDER_FAILED
                 )
-                return Failure(code, await response.text())
+                return Failure(code, reason)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             return Failure(ResultCode.ORDER_FAILED, type(error).__name__)
 
--- a/libs/outbound/src/shallotstand/outbound/response_handler.py
+++ b/libs/outbound/src/shallotstand/outbound/response_handler.py
@@ -191,14 +191,17 @@
 class BoundedConnector(aiohttp.TCPConnector):
     """Opens connections whose responses a `BoundedResponseHandler` receives."""
 
-    def __init__(self, budget: ReceiveBudget, **options: Any):
+    def __init__(self, budget: ReceiveBudget | None = None, **options: Any):
         """Creates a connector without connections.
 
         Args:
-          budget: Bounds what all of its incomplete responses hold.
+          budget: Bounds what its incomplete responses hold; a budget of its
+            own if None.
           **options: Further arguments of aiohttp's connector.
         """
         super().__init__(**options)
         self._factory = functools.partial(
-            BoundedResponseHandler, loop=self._loop, budget=budget
+            BoundedResponseHandler,
+            loop=self._loop,
+            budget=budget or ReceiveBudget.from_memory_limit(0),
         )
--- a/libs/platform/src/shallotstand/platform/http_caller.py
+++ b/libs/platform/src/shallotstand/platform/http_caller.py
@@ -6,6 +6,7 @@
 import aiohttp
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
+from shallotstand.outbound.response_handler import BoundedConnector
 from shallotstand.outbound.single_send import send_once
 
 CONNECT_TIMEOUT_S = 1.0
@@ -46,7 +47,9 @@
         """Returns the session, made in the running event loop."""
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                read_bufsize=_READ_BUFFER_BYTES, middlewares=(send_once,)
+                connector=BoundedConnector(),
+                read_bufsize=_READ_BUFFER_BYTES,
+                middlewares=(send_once,),
             )
         return self._session
 
--- a/tests/answers/readers.py
+++ b/tests/answers/readers.py
@@ -1,6 +1,8 @@
 """All that reads HTTP answers, each with an answer that it accepts."""
 
+import asyncio
 import contextlib
+import tempfile
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any, NamedTuple
 
@@ -9,13 +11,22 @@
 from shallotstand.adapter.engines import HttpEndpointClient
 from shallotstand.adapter.store import PlatformStore
 from shallotstand.adapter.usage_sink import PlatformUsageSink
+from shallotstand.cli import client as admin_client
+from shallotstand.cli import placement
 from shallotstand.core.clock import SystemClock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
 from shallotstand.dispatch.endpoint_client import EndpointRequest
 from shallotstand.dispatch.endpoints import EndpointRegistry
 from shallotstand.duties.weight_updates import OrderOutcome, VersionOrder
+from shallotstand.engine.http import HttpEngine
+from shallotstand.engine.protocols import EngineOrder, EngineRequest
+from shallotstand.load.plan import PlannedRequest
+from shallotstand.load.runner import LoadRun
+from shallotstand.load.settings import LoadAccount, LoadSettings
 from shallotstand.outbound.receive_budget import ReceiveBudget
+from shallotstand.platform.http_store import HttpObjectStore
+from shallotstand.settings.options import SocketAddress
 from shallotstand.standins.memory_engines import make_endpoint
 
 BUDGET_S = 1.0
@@ -26,6 +37,15 @@
 )
 EVENT = b"id: 1\ndata: a\n\n"
 DOCUMENT = b'{"metadata":{"name":"name","revision":3},"spec":{},"status":null}'
+LOAD_ETAG = (("ETag", '"3"'),)
+_REPORT = (
+    b'{"incarnation":"i1","running":0,"queued":0,"slots":1,"free_blocks":1,'
+    b'"version":"v1","added":[],"evicted":[]}'
+)
+LOAD_REPORT = (
+    b'{"incarnation":"i1","running":0,"queued":0,"slots":1,"free_blocks":1,'
+    b'"version":"v1","added":[],"evicted":[]}'
+)
 # The codes of a call whose outcome is not known.
 UNKNOWN_CODES = (
     ResultCode.ANSWER_CUT,
@@ -162,8 +182,68 @@
     return call
 
 
+async def _engine_request(address: str) -> Any:
+    async with _closing(HttpEngine(f"http://{address}")) as engine:
+        request = EngineRequest("/a", UPLOAD, "r1", 0, BUDGET_S)
+        async with engine.open(request) as answer:
+            if isinstance(answer, Failure):
+                return answer
+            *_, last = [part async for part in answer.chunks()]
+            return last
+
+
+def _engine(operation):
+    async def call(address: str) -> Any:
+        async with _closing(HttpEngine(f"http://{address}")) as engine:
+            return await operation(engine)
+
+    return call
+
+
+def _objects(operation):
+    async def call(address: str) -> Any:
+        async with _closing(HttpObjectStore(f"http://{address}")) as store:
+            return await operation(store)
+
+    return call
+
+
+async def _admin(address: str) -> Any:
+    with tempfile.NamedTemporaryFile("w", suffix=".key") as key_file:
+        key_file.write("key")
+        key_file.flush()
+        server = admin_client.Server(f"http://{address}", key_file.name)
+        return await asyncio.to_thread(
+            admin_client.call, server, "PUT", "keys", _LARGE
+        )
+
+
+async def _placement(address: str) -> Any:
+    return await asyncio.to_thread(placement.ask_gateway, address, {})
+
+
+async def _load(address: str) -> Any:
+    host, _, port = address.rpartition(":")
+    settings = LoadSettings(
+        **{
+            **dict.fromkeys(LoadSettings._fields, 1),
+            "timeout_s": BUDGET_S,
+            "accounts": (),
+        }
+    )
+    run = LoadRun(settings, SystemClock())
+    account = LoadAccount("account", "key", 1.0)
+    target = SocketAddress(host, int(port))
+    await run.run([PlannedRequest(0.0, account, target, UPLOAD, False, "p")])
+    values = {
+        (line.figure, line.label): line.value for line in run.figures.lines()
+    }
+    return "served" if values["served", ""] else "not served"
+
+
 _ORDER = VersionOrder("model", 3, 9, 2, BUDGET_S)
 _LARGE = {"text": "x" * 6_000_000}
+_ETAG = (("ETag", '"3"'),)
 _UNKNOWN_WRITE = (ResultCode.OUTCOME_UNKNOWN,)
 _UNAVAILABLE = (ResultCode.STORE_UNAVAILABLE,)
 _REPORT = (ResultCode.ENDPOINT_BAD_ANSWER,)
@@ -233,4 +313,39 @@
         _UNKNOWN_WRITE,
         body=b"{}",
     ),
+    "engine request": Reader(_engine_request, UNKNOWN_CODES),
+    "engine load": Reader(
+        _engine(lambda engine: engine.load()),
+        (ResultCode.ENDPOINT_REFUSED,),
+        body=LOAD_REPORT,
+    ),
+    "engine order": Reader(
+        _engine(
+            lambda engine: engine.order(
+                EngineOrder("load", "v" * 6_000_000, 1, BUDGET_S)
+            )
+        ),
+        (ResultCode.ORDER_FAILED,),
+        body=b"{}",
+    ),
+    "object get": Reader(
+        _objects(lambda store: store.get("k")), _UNAVAILABLE, headers=_ETAG
+    ),
+    "object list": Reader(
+        _objects(lambda store: store.list("k")), _UNAVAILABLE, body=b"[]"
+    ),
+    "object put": Reader(
+        _objects(lambda store: store.put("k", b"x" * 1_000_000, 1)),
+        _UNAVAILABLE,
+        headers=_ETAG,
+    ),
+    "placement": Reader(
+        _placement, (ResultCode.ADMIN_UNREACHABLE,), body=b"{}"
+    ),
+    "administration": Reader(
+        _admin, (ResultCode.ADMIN_UNREACHABLE,), body=b"{}"
+    ),
+    "load": Reader(
+        _load, ("not served",), body=b'{"choices":[{"finish_reason":"stop"}]}'
+    ),
 }
