--- a/apps/standins/src/shallotstand/standins/early_http.py
+++ b/apps/standins/src/shallotstand/standins/early_http.py
@@ -4,8 +4,8 @@
 import contextlib
 import enum
 import re
-import socket
-import struct
+
+from shallotstand.standins.scripted_http import reset_connection
 
 # Stands for the identifier of the request that is answered.
 REQUEST_ID = b"<request-id>"
@@ -90,10 +90,7 @@
     ) -> None:
         match self._ending:
             case Ending.RESET:
-                # With a linger time of 0, closing sends a reset.
-                writer.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-                )
+                reset_connection(writer)
             case Ending.CLOSE:
                 writer.write_eof()
                 await _discard(reader)
--- a/apps/standins/src/shallotstand/standins/scripted_http.py
+++ b/apps/standins/src/shallotstand/standins/scripted_http.py
@@ -100,15 +100,19 @@
                 writer.write(part)
                 await writer.drain()
         if reply.reset:
-            client_socket = writer.get_extra_info("socket")
-            # With a linger time of 0, closing sends a reset.
-            client_socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-            )
-            writer.transport.abort()
+            reset_connection(writer)
         return not (reply.close or reply.reset)
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Ends a connection with a reset."""
+    # With a linger time of 0, closing sends one.
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
+
+
 def encode_response(status: str, body: bytes = b"", **headers: str) -> bytes:
     """Returns an encoded response; `_` in header names becomes `-`."""
     all_headers = {"Content-Length": str(len(body))} | {
