--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -1,7 +1,9 @@
 """Real gateways beside an engine whose answers are broken."""
 
 import asyncio
+import re
 
+import aiohttp
 import orjson
 import pytest
 from shallotstand.standins.early_http import REQUEST_ID, EarlyServer, Ending
@@ -11,6 +13,7 @@
     results_path,
     server_spec,
 )
+from shallotstand.standins.fleet_engine import FleetEngine
 
 UPLOAD = b"x" * 6_000_000
 CALLS = 8
@@ -53,13 +56,32 @@
     await fleet.platform.put("servers", engine.name, spec)
 
 
+async def read_stream(fleet, request_id):
+    """Returns the numbers of the events of a stream; None if it was cut."""
+    try:
+        status, body = await fleet.call(
+            fleet.gateways[0], "POST", "/events/a", request_id, b"x"
+        )
+    except aiohttp.ClientError:
+        return None
+    assert status == 200
+    return [int(number) for number in re.findall(rb"(?m)^id: (\d+)$", body)]
+
+
 def run_beside_broken_engine(directory, body, name, engine_of, scenario):
     encode, ending = BROKEN[name]
 
     async def run():
         async with (
             EarlyServer(encode(body), ending) as server,
-            Fleet(directory, 1) as fleet,
+            Fleet(
+                directory,
+                1,
+                more_engines=tuple(
+                    FleetEngine(name, pause_s=0.01, service="writers")
+                    for name in ("w1", "w2")
+                ),
+            ) as fleet,
         ):
             await replace_engine(fleet, engine_of(fleet), server)
             # The gateway reads the list of engines again.
@@ -124,3 +146,20 @@
     run_beside_broken_engine(
         tmp_path, EVENTS, name, lambda fleet: fleet.engines[0], scenario
     )
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_stream_never_ends_as_a_broken_answer_does(tmp_path, name):
+    # Guards against a stream to a caller that looks complete at the place where
+    # a broken answer ended.
+    async def scenario(fleet, _):
+        whole = list(range(1, fleet.more_engines[1].event_count + 1))
+        streams = [
+            await read_stream(fleet, f"s{number}") for number in range(CALLS)
+        ]
+        assert all(numbers in (None, whole) for numbers in streams)
+        assert whole in streams
+
+    run_beside_broken_engine(
+        tmp_path, EVENTS, name, lambda fleet: fleet.more_engines[0], scenario
+    )
