Wait for the gateway's list in the test of broken answers

The test slept for a second until the gateway used the broken engine, which a busy machine may not be enough for. It now lists a new engine and waits until the gateway logs it. Both engines of a service are new, since a gateway prefers those it knows.

--- a/tests/test_broken_answers.py
+++ b/tests/test_broken_answers.py
@@ -11,12 +11,12 @@
     Fleet,
     batch_submission,
     results_path,
-    server_spec,
 )
 from shallotstand.standins.fleet_engine import FleetEngine
 
 UPLOAD = b"x" * 6_000_000
 CALLS = 8
+BROKEN_ENGINE = "odd"
 ITEMS = 8
 EVENTS = b"".join(b"id: %d\ndata: part\n\n" % number for number in (1, 2, 3))
 
@@ -50,10 +50,22 @@
 }
 
 
-async def replace_engine(fleet, engine, server):
-    """Registers a server in place of an engine."""
-    spec = {**server_spec(engine), "address": server.address}
-    await fleet.platform.put("servers", engine.name, spec)
+async def replace_engines(fleet, server, sound):
+    """Lists a server and a sound engine in place of a service's engines.
+
+    Both are new, so that the gateway prefers neither. Waits for the gateway.
+    """
+    broken = FleetEngine(BROKEN_ENGINE, service=sound.service)
+    broken.address = server.address
+    for engine in (*fleet.engines, fleet.plain_engine):
+        if engine.service == sound.service:
+            await fleet.platform.documents.delete("servers", engine.name)
+    for engine in (broken, sound) if sound.address else (broken,):
+        await fleet.register(engine)
+    log_path = fleet.gateways[0].log_path
+    await fleet.wait_until(
+        lambda: f'"{BROKEN_ENGINE}"' in log_path.read_text("utf-8")
+    )
 
 
 async def read_stream(fleet, request_id):
@@ -68,29 +80,31 @@
     return [int(number) for number in re.findall(rb"(?m)^id: (\d+)$", body)]
 
 
-def run_beside_broken_engine(directory, body, name, engine_of, scenario):
+def run_beside_broken_engine(directory, body, name, sound, scenario):
+    """Runs a scenario with a gateway and the engines of one service.
+
+    Args:
+      directory: Where settings and logs are written.
+      body: Content of the broken answers.
+      name: Kind of the broken answers.
+      sound: The other engine of the service; there is none for `plain`.
+      scenario: Gets the deployment and the server with the broken answers.
+    """
     encode, ending = BROKEN[name]
 
     async def run():
         async with (
             EarlyServer(encode(body), ending) as server,
-            Fleet(
-                directory,
-                1,
-                more_engines=tuple(
-                    FleetEngine(name, pause_s=0.01, service="writers")
-                    for name in ("w1", "w2")
-                ),
-            ) as fleet,
+            Fleet(directory, 1) as fleet,
         ):
-            await replace_engine(fleet, engine_of(fleet), server)
-            # The gateway reads the list of engines again.
-            await asyncio.sleep(1.0)
+            if sound.service != "plain":
+                await sound.start()
+            await replace_engines(fleet, server, sound)
             await asyncio.wait_for(scenario(fleet, server), 40)
             assert server.request_count
-            assert "A task has failed" not in fleet.gateways[
-                0
-            ].log_path.read_text("utf-8")
+            log = fleet.gateways[0].log_path.read_text("utf-8")
+            assert "A task has failed" not in log
+            await sound.stop()
 
     asyncio.run(run())
 
@@ -116,16 +130,21 @@
                 assert status == 503
 
     run_beside_broken_engine(
-        tmp_path, b"part", name, lambda fleet: fleet.plain_engine, scenario
+        tmp_path,
+        b"part",
+        name,
+        FleetEngine("unused", service="plain"),
+        scenario,
     )
 
 
 @pytest.mark.parametrize("name", BROKEN)
 def test_items_never_hold_a_broken_answer(tmp_path, name):
     # Guards against a text of a batch that ends where a broken answer ended.
+    sound = FleetEngine("e3")
+
     async def scenario(fleet, _):
         (gateway,) = fleet.gateways
-        _, sound = fleet.engines
         body = orjson.dumps(batch_submission(ITEMS))
         status, _ = await fleet.call(gateway, "POST", "/rollouts/1", "b1", body)
         assert status == 202
@@ -143,23 +162,22 @@
             kept = 3 if name == "reset" and lines[0] == "part" else 0
             assert lines == ["part"] * kept + own_lines[kept:]
 
-    run_beside_broken_engine(
-        tmp_path, EVENTS, name, lambda fleet: fleet.engines[0], scenario
-    )
+    run_beside_broken_engine(tmp_path, EVENTS, name, sound, scenario)
 
 
 @pytest.mark.parametrize("name", BROKEN)
 def test_stream_never_ends_as_a_broken_answer_does(tmp_path, name):
     # Guards against a stream to a caller that looks complete at the place where
     # a broken answer ended.
+    sound = FleetEngine("w1", pause_s=0.01, service="writers")
+
     async def scenario(fleet, _):
-        whole = list(range(1, fleet.more_engines[1].event_count + 1))
-        streams = [
-            await read_stream(fleet, f"s{number}") for number in range(CALLS)
-        ]
+        whole = list(range(1, sound.event_count + 1))
+        # At the same time, so that they spread over the engines.
+        streams = await asyncio.gather(
+            *(read_stream(fleet, f"s{number}") for number in range(CALLS))
+        )
         assert all(numbers in (None, whole) for numbers in streams)
         assert whole in streams
 
-    run_beside_broken_engine(
-        tmp_path, EVENTS, name, lambda fleet: fleet.more_engines[0], scenario
-    )
+    run_beside_broken_engine(tmp_path, EVENTS, name, sound, scenario)
