Test of leaving engines: take the engine that is used, wait until it says so

The test took the engine of the latest answer and removed its entry 0.2 s after it began to say that it leaves. If that engine got no request in these 0.2 s, nobody could pass its statement on, and there was nothing to check.

The test now takes the engine with most answers and removes its entry 0.2 s after the first answer that says it. The checks are the same, and the one that failed holds by the wait before it, which fails after 15 s otherwise.

--- a/tests/test_leaving_engines.py
+++ b/tests/test_leaving_engines.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections
 import itertools
 import signal
 import time
@@ -112,9 +113,13 @@
     return FleetEngine(name, pause_s=0.01, service="plain")
 
 
-async def leave_as_listed(fleet, engine, listed):
+async def leave_as_listed(fleet, engine, callers, listed):
     """Lets an engine say that it leaves; its entry says what is given."""
     engine.leaving_header = "1"
+    # A removed entry would keep an engine that is rarely used from saying it.
+    await fleet.wait_until(
+        lambda: any(answer.says_leaving for answer in callers.answers)
+    )
     await asyncio.sleep(0.2)
     if listed == "gone":
         await fleet.platform.documents.delete("servers", engine.name)
@@ -138,9 +143,11 @@
         callers = Callers(fleet, path)
         calling = asyncio.create_task(callers.run_for(LEAVING_S + 1.0))
         await asyncio.sleep(1.0)
-        used = callers.answers[-1].engine_start
-        engine = next(one for one in engines if one.start_name == used)
-        await leave_as_listed(fleet, engine, listed)
+        uses = collections.Counter(
+            answer.engine_start for answer in callers.answers
+        )
+        engine = max(engines, key=lambda one: uses[one.start_name])
+        await leave_as_listed(fleet, engine, callers, listed)
         await calling
         # It serves all the time, so nothing has to fail.
         assert {answer.status for answer in callers.answers} == {200}
