--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=target/deps:target/review-3 exec python3 review/12/case.py
