--- a/review/common3/deployment.py
+++ b/review/common3/deployment.py
@@ -70,7 +70,7 @@
 max_stretch_ms = 5000
 strict_revoke = false
 revoke_ms = 5000
-fencing_enforced = true
+fencing_enforced = {fenced}
 lease_ms = 3000
 thaw_slack_ms = 300
 report_window_s = 5
@@ -171,6 +171,7 @@
     """A machine of the system and its process."""
 
     def __init__(self, node: str, role: str, ip: str, directory: pathlib.Path):
+        self.fenced = True
         self.node = node
         self.role = role
         self.ip = ip
@@ -205,6 +206,7 @@
                 port=self.peer_port,
                 last_port=self.peer_port + 15,
                 listen=listen,
+                fenced=str(self.fenced).lower(),
                 platform=self.platform,
             )
         )
@@ -260,6 +262,7 @@
         engines: list[Engine],
         gateways: int = 2,
         keepers: int = 1,
+        fenced: bool = True,
     ):
         self.record = record
         self.platform = Platform()
@@ -272,6 +275,8 @@
             Machine(f"store-a-{n}", "keeper", f"127.0.0.{40 + n}", directory)
             for n in range(1, keepers + 1)
         ]
+        for machine in (*self.gateways, *self.keepers):
+            machine.fenced = fenced
 
     async def __aenter__(self) -> "Deployment":
         try:
@@ -346,11 +351,11 @@
 
     def __init__(self) -> None:
         self._lines: list[str] = []
-        self._began_at = time.monotonic()
+        self.began_at = time.monotonic()
 
     def add(self, what: str, **fields: Any) -> None:
         """Adds a line."""
-        at_s = time.monotonic() - self._began_at
+        at_s = time.monotonic() - self.began_at
         text = " ".join(f"{k}={json.dumps(v)}" for k, v in fields.items())
         self._lines.append(f"{at_s:8.3f} {what} {text}".rstrip())
 
@@ -363,7 +368,7 @@
         for run in runs:
             fields = {k: v for k, v in run.items() if k not in ("at", "body")}
             text = " ".join(f"{k}={json.dumps(v)}" for k, v in fields.items())
-            at_s = run["at"] - self._began_at
+            at_s = run["at"] - self.began_at
             self._lines.append(f"{at_s:8.3f} run {text}")
 
     def write(self, path: pathlib.Path) -> None:
--- a/review/common3/engine_standin.py
+++ b/review/common3/engine_standin.py
@@ -12,6 +12,8 @@
 EXPECTED = "X-Shallotstand-Expect-Instance"
 VERSIONS = "X-Shallotstand-Weight-Versions"
 TENANT = "X-Shallotstand-Tenant"
+# Seconds until an order that got no answer is carried out (2 to 12).
+LATE_ORDER_S = 11.0
 
 
 class Engine:
@@ -25,7 +27,10 @@
       runs: What it began to run.
       pause_s: Seconds before each event and before a plain answer.
       event_count: Events of each text.
-      fail_plain: Whether plain requests are answered with 500.
+      orders: Orders that arrived.
+      version: Version of its weights.
+      leaves_orders_unanswered: Whether orders get no answer, and are carried
+        out seconds later.
     """
 
     def __init__(
@@ -40,6 +45,10 @@
         self.pause_s = 0.05
         self.event_count = 28
         self.address = ""
+        self.orders: list[dict[str, Any]] = []
+        self.version = 1
+        self.leaves_orders_unanswered = False
+        self._accepted_orders = 0
         self._runner: web.AppRunner | None = None
         self._site: web.TCPSite | None = None
 
@@ -102,7 +111,9 @@
             "born": self.born_ms,
             "cold_remaining_ms": 0,
             "stage": "both",
-            "models": [{"name": "model", "version": 1, "adapters": []}]
+            "models": [
+                {"name": "model", "version": self.version, "adapters": []}
+            ]
             if is_model_engine
             else [],
             "seq": 1,
@@ -158,7 +169,7 @@
             headers={
                 ATTEMPT_ID: run["id"],
                 SEAL: f"seal-{run['id']}",
-                VERSIONS: "1",
+                VERSIONS: str(self.version),
             }
         )
         response.content_type = "text/event-stream"
@@ -179,9 +190,11 @@
             "born": self.born_ms,
             "state": "ready",
             "stage": "both",
-            "models": [{"name": "model", "version": 1, "adapters": []}],
+            "models": [
+                {"name": "model", "version": self.version, "adapters": []}
+            ],
             "busy": False,
-            "seq": 0,
+            "seq": self._accepted_orders,
             "num_waiting": 0,
             "num_running": 0,
             "kv_used": 0,
@@ -191,4 +204,23 @@
         return web.Response(body=orjson.dumps(body))
 
     async def _order(self, request: web.Request) -> web.Response:
-        return self._refusal(request) or web.Response(status=202)
+        refusal = self._refusal(request)
+        if refusal is not None:
+            return refusal
+        order = orjson.loads(await request.read())
+        self.orders.append({"at": time.monotonic(), **order})
+        if self.leaves_orders_unanswered:
+            loop = asyncio.get_running_loop()
+            loop.call_later(LATE_ORDER_S, self._carry_out, order)
+            await asyncio.sleep(LATE_ORDER_S)
+            request.transport.abort()
+            return web.Response()
+        return web.Response(status=202 if self._carry_out(order) else 409)
+
+    def _carry_out(self, order: dict[str, Any]) -> bool:
+        """Carries an order out unless newer ones came before it."""
+        if order["precondition"] != self._accepted_orders:
+            return False
+        self._accepted_orders += 1
+        self.version = order["version"]
+        return True
