Take no end that the socket has an error for as orderly

Cause: if bytes and a reset wait in the socket together, uvloop reads the bytes, sees the hang-up and reports the end of the stream; the reset is never reported. The handler of HTTP connections took that report for the peer's orderly end. Links between processes recorded no failure for such a reset.

Evidence: a server that holds up its client's loop while the last bytes and the reset arrive. Ruled out: the order in which the library releases connections, since asyncio passes with the same clients.

The handler and the link ask the socket for its error when the end is reported. EPIPE is a reset after the peer's end, when all bytes had arrived, so it counts as an end: sound answers of servers that leave an upload unread still pass, and answers ended by a plain close are taken as soon as before, which the tests check for every reader.

--- a/libs/link/src/shallotstand/link/link.py
+++ b/libs/link/src/shallotstand/link/link.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 
 from shallotstand.core.codes import ResultCode
+from shallotstand.core.connection_end import find_connection_error
 from shallotstand.core.failure import Failure
 from shallotstand.link.codec import (
     MAX_MESSAGE_BYTES,
@@ -35,7 +36,8 @@
       peer_address: Host and port of the peer, for log lines.
       bytes_sent: Bytes passed to the kernel or queued for it.
       bytes_received: Bytes of complete messages received.
-      failure: Why this process ended the link early; None if it did not.
+      failure: Why the link ended early; None if the peer closed it in order,
+        after a whole message, or it is open.
     """
 
     def __init__(
@@ -99,25 +101,49 @@
     async def messages(self) -> AsyncIterator[Message]:
         """Yields messages until the link ends.
 
-        Sets `failure` and ends the link if a message is invalid.
+        Sets `failure` unless the peer closes the link in order. A message that
+        is invalid or breaks off is not yielded.
         """
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
-            while True:
-                header = await self._reader.readexactly(_LENGTH_BYTES)
-                header_value = int.from_bytes(header, "little")
-                length = header_value & ~_PACKED_FLAG
-                if length > MAX_MESSAGE_BYTES:
-                    self.abort(ResultCode.FRAME_TOO_LARGE, f"{length} bytes")
-                    return
-                body = await self._reader.readexactly(length)
-                self.bytes_received += _LENGTH_BYTES + length
-                message = decode(
-                    EncodedMessage(body, bool(header_value & _PACKED_FLAG))
-                )
-                if isinstance(message, Failure):
-                    self.abort(message.code, message.reason)
-                    return
-                yield message
+        while True:
+            try:
+                message = await self._receive()
+            except (asyncio.IncompleteReadError, OSError) as error:
+                self._record_end(error)
+                return
+            if isinstance(message, Failure):
+                self.abort(message.code, message.reason)
+                return
+            yield message
+
+    async def _receive(self) -> Message | Failure:
+        """Receives one message.
+
+        Errors:
+          FRAME_TOO_LARGE, BAD_FRAME: What arrives is no message.
+
+        Raises:
+          IncompleteReadError, OSError: The link has ended.
+        """
+        header = await self._reader.readexactly(_LENGTH_BYTES)
+        header_value = int.from_bytes(header, "little")
+        length = header_value & ~_PACKED_FLAG
+        if length > MAX_MESSAGE_BYTES:
+            return Failure(ResultCode.FRAME_TOO_LARGE, f"{length} bytes")
+        body = await self._reader.readexactly(length)
+        self.bytes_received += _LENGTH_BYTES + length
+        return decode(EncodedMessage(body, bool(header_value & _PACKED_FLAG)))
+
+    def _record_end(self, error: asyncio.IncompleteReadError | OSError) -> None:
+        """Records why the link has ended, unless that is known."""
+        reason = ""
+        if isinstance(error, OSError):
+            reason = str(error)
+        elif reset := find_connection_error(self._writer.transport):
+            reason = str(reset)
+        elif error.partial:
+            reason = "The link ended within a message."
+        if reason and self.failure is None:
+            self.failure = Failure(ResultCode.LINK_LOST, reason)
 
     def set_tcp_user_timeout(self, seconds: float) -> None:
         """Sets how long sent data may stay unacknowledged by the peer's kernel.
--- a/libs/link/tests/test_link.py
+++ b/libs/link/tests/test_link.py
@@ -3,11 +3,13 @@
 import asyncio
 
 import pytest
+import uvloop
 from shallotstand.core.codes import ResultCode
 from shallotstand.link.codec import MAX_MESSAGE_BYTES, encode
 from shallotstand.link.link import Link
 from shallotstand.link.messages import Frame, Frames, Hello
 from shallotstand.standins.early_http import Ending
+from shallotstand.standins.held_http import HeldEnding, HeldServer
 from shallotstand.standins.scripted_http import reset_connection
 
 HELLO = Hello("entry-1", "entry", "peak-a", "i" * 24, 7)
@@ -22,7 +24,10 @@
     return header.to_bytes(_LENGTH_BYTES, "little") + encoded.body
 
 
-def receive(data, ending):
+LOOPS = {"asyncio": asyncio.new_event_loop, "uvloop": uvloop.new_event_loop}
+
+
+def receive(data, ending, loop="asyncio"):
     """Returns the messages that a link receives, and the link."""
 
     async def serve(reader, writer):
@@ -44,7 +49,41 @@
         server.close()
         return messages, link
 
-    return asyncio.run(asyncio.wait_for(scenario(), 10))
+    with asyncio.Runner(loop_factory=LOOPS[loop]) as runner:
+        return runner.run(asyncio.wait_for(scenario(), 10))
+
+
+def receive_held_up(data, ending, loop):
+    """Does the same on a link whose end arrives with its last bytes."""
+
+    async def scenario():
+        link = None
+        # The server sends nothing before it has read the end of a head.
+        async with HeldServer(framed(HELLO), data, ending) as server:
+            host, _, port = server.address.rpartition(":")
+            link = await Link.connect(host, int(port))
+            link._writer.write(b"\r\n\r\n")
+            messages = [message async for message in link.messages()]
+            await link.close()
+        return messages, link
+
+    with asyncio.Runner(loop_factory=LOOPS[loop]) as runner:
+        return runner.run(asyncio.wait_for(scenario(), 10))
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+@pytest.mark.parametrize("is_whole", [True, False])
+def test_reset_beside_the_last_bytes_is_told_from_an_end(is_whole, loop):
+    # Guards against a link whose reset is logged as an orderly end, and against
+    # a message that counts although its link was reset within it.
+    whole = framed(FRAMES)
+    data = whole if is_whole else whole[:-1]
+    messages, link = receive_held_up(data, HeldEnding.RESET, loop)
+    assert messages in ([HELLO, FRAMES][: 1 + is_whole], [HELLO])
+    assert link.failure.code == ResultCode.LINK_LOST
+    messages, link = receive_held_up(data, HeldEnding.CLOSE, loop)
+    assert messages == [HELLO, FRAMES][: 1 + is_whole]
+    assert (link.failure is None) == is_whole
 
 
 @pytest.mark.parametrize("ending", [Ending.CLOSE, Ending.RESET])
--- a/libs/outbound/src/shallotstand/outbound/response_handler.py
+++ b/libs/outbound/src/shallotstand/outbound/response_handler.py
@@ -8,6 +8,7 @@
 from absl import logging
 from aiohttp.client_proto import ResponseHandler
 from shallotstand.core import logs
+from shallotstand.core.connection_end import find_connection_error
 from shallotstand.outbound.receive_budget import ReceiveBudget, Reservation
 from shallotstand.outbound.response_heads import (
     HeadLines,
@@ -39,7 +40,7 @@
 
     A body without a length is complete only if the peer has ended its side of
     the connection in order. The library also takes it for complete after a
-    reset.
+    reset, and the event loop reports some resets as the end of the stream.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, budget: ReceiveBudget):
@@ -53,6 +54,7 @@
         self._body: aiohttp.StreamReader | None = None
         self._has_unrequested_head = False
         self._has_peer_finished = False
+        self._connection_error: OSError | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Begins to count what the connection holds."""
@@ -65,8 +67,11 @@
     def eof_received(self) -> None:
         """Learns that the peer sends nothing more."""
         super().eof_received()
-        self._has_peer_finished = True
-        if self._is_body_due() and self.transport is not None:
+        if self.transport is None:
+            return
+        self._connection_error = find_connection_error(self.transport)
+        self._has_peer_finished = self._connection_error is None
+        if self._is_body_due():
             # Otherwise the response would wait for the rest of its request to
             # be written, which the peer may never read.
             self.transport.abort()
@@ -81,9 +86,10 @@
             and not self._has_peer_finished
             and self._body.exception() is None
         ):
+            error = self._connection_error or exc
             self._body.set_exception(
                 aiohttp.ClientPayloadError(
-                    f"The connection ended within the body: {exc!r}"
+                    f"The connection ended within the body: {error!r}"
                 )
             )
         super().connection_lost(exc)
