--- a/apps/standins/src/shallotstand/standins/fleet_engine.py
+++ b/apps/standins/src/shallotstand/standins/fleet_engine.py
@@ -32,6 +32,8 @@
       name: Its identifier.
       version: Weight version of its model.
       started_requests: Identifiers of the requests that it started, in order.
+      header_lines_by_request: Names, in lower case, and values of the headers
+        with which each request arrived last.
       accepted_orders: Orders that it accepted: holder, fencing token, version.
       duty_calls: All orders that arrived.
       limit: The limit that it states in its responses, and what arrived.
@@ -79,6 +81,7 @@
         self.name = name
         self.version = 1
         self.started_requests: list[str] = []
+        self.header_lines_by_request: dict[str, list[tuple[str, str]]] = {}
         self.accepted_orders: list[tuple[str, int, int]] = []
         self.duty_calls = DutyCallLog(checks_fences)
         self.limit = RequestLimit()
@@ -176,8 +179,13 @@
         if self.leaving_header is not None:
             response.headers[LEAVING_HEADER] = self.leaving_header
 
-    def _record_start(self, request_id: str) -> None:
+    def _record_start(self, request: web.Request) -> None:
+        request_id = request.headers[_ATTEMPT_ID_HEADER]
         self.started_requests.append(request_id)
+        self.header_lines_by_request[request_id] = [
+            (name.decode().lower(), value.decode())
+            for name, value in request.raw_headers
+        ]
         self.requests_by_start.setdefault(self.start_name, set()).add(
             request_id
         )
@@ -200,7 +208,7 @@
     async def _handle_plain(self, request: web.Request) -> web.Response:
         request_id = request.headers[_ATTEMPT_ID_HEADER]
         limit_headers = self.limit.record_arrival(request_id)
-        self._record_start(request_id)
+        self._record_start(request)
         await self._crash_if_told(request)
         await asyncio.sleep(self._pause_s)
         if self.loses_answers:
@@ -216,7 +224,7 @@
     async def _handle_stream(self, request: web.Request) -> web.StreamResponse:
         request_id = request.headers[_ATTEMPT_ID_HEADER]
         limit_headers = self.limit.record_arrival(request_id)
-        self._record_start(request_id)
+        self._record_start(request)
         await self._crash_if_told(request)
         response = web.StreamResponse(
             headers={
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -1,5 +1,7 @@
 """Clients of the adapter as the tests use them."""
 
+import pytest
+from sanic import Sanic
 from shallotstand.adapter.engine_control import HttpEngineControl
 from shallotstand.adapter.engines import HttpEndpointClient
 from shallotstand.core.clock import SystemClock
@@ -24,3 +26,8 @@
     return HttpEngineControl(
         "node-1", ReceiveBudget.from_memory_limit(MEMORY_BYTES)
     )
+
+
+@pytest.fixture(autouse=True)
+def allow_several_apps(monkeypatch):
+    monkeypatch.setattr(Sanic, "test_mode", True)
--- a/tests/adapter/test_http_frontend.py
+++ b/tests/adapter/test_http_frontend.py
@@ -2,167 +2,21 @@
 
 import asyncio
 import contextlib
-import random
 
 import aiohttp
 import orjson
 import pytest
-from sanic import Sanic
-from shallotstand.adapter.http_frontend import (
-    HttpFrontend,
-    HttpFrontendDependencies,
-)
-from shallotstand.batches.batch_log import BatchLog
 from shallotstand.batches.records import Result, ResultState
-from shallotstand.batches.registry import BatchRegistry
-from shallotstand.batches.service import BatchService
 from shallotstand.core.clock import SystemClock
-from shallotstand.core.in_progress_counter import InProgressCounter
-from shallotstand.dispatch.config import (
-    ClientAccount,
-    Configuration,
-    Limits,
-    Route,
-    RouteKind,
-    RouteTarget,
-)
-from shallotstand.dispatch.crash_record import CrashRecord
 from shallotstand.dispatch.endpoint_client import EndpointResponse
-from shallotstand.dispatch.endpoints import EndpointRegistry
-from shallotstand.dispatch.plain import UnaryDispatcher
-from shallotstand.dispatch.request_handler import RequestHandler
-from shallotstand.dispatch.start_check import StartCheck
-from shallotstand.dispatch.usage import UsageMeter
-from shallotstand.standins.memory_documents import MemoryDocuments
 from shallotstand.standins.memory_engines import (
     ANSWER_CUT,
     REFUSED,
-    MemoryEngines,
     MemoryStream,
-    MemoryStreamOrigins,
-    make_endpoint,
     numbered_events,
 )
-from shallotstand.standins.processes import free_address
-
-KEY_HEADERS = {"Authorization": "Token key"}
-
-
-def make_route(name, kind, **fields):
-    return Route(
-        **{
-            "name": name,
-            "host": "host.example",
-            "path_prefix": f"/{name}/",
-            "kind": kind,
-            "targets": (RouteTarget("engines", 1.0),),
-            "timeout_s": 1.0,
-            "objective_s": 0.2,
-            "priority": 0,
-            "max_attempts": 2,
-            "is_public": False,
-            "is_resumable": True,
-            "results_due_s": 5.0,
-            "item_ttl_s": 20.0,
-            "is_single_version": False,
-            **fields,
-        }
-    )
-
-
-@pytest.fixture(autouse=True)
-def allow_several_apps(monkeypatch):
-    monkeypatch.setattr(Sanic, "test_mode", True)
 
-
-class FrontendHarness:
-    """HTTP front end with engines and an object store in memory."""
-
-    def __init__(self):
-        clock = SystemClock()
-        self.engines = MemoryEngines()
-        self.store = MemoryDocuments()
-        self.endpoints = EndpointRegistry("zone-a", clock)
-        for name in ("e1", "e2"):
-            self.endpoints.update_endpoint(make_endpoint(name))
-        self.meter = UsageMeter(5.0, clock)
-        unary_dispatcher = UnaryDispatcher(
-            self.endpoints, self.engines, clock, random.Random(1)
-        )
-        self.request_handler = RequestHandler(
-            self.endpoints,
-            self.engines,
-            unary_dispatcher,
-            self.meter,
-            clock,
-            CrashRecord(self.endpoints, clock),
-            MemoryStreamOrigins(),
-            StartCheck(self.engines),
-        )
-        self.batches = BatchRegistry()
-        self.log = BatchLog(self.store, self.batches, clock)
-        self.frontend = HttpFrontend(
-            HttpFrontendDependencies(
-                self.request_handler,
-                BatchService(self.batches, self.log, clock),
-                InProgressCounter(),
-                lambda: "gateway-1",
-                clock,
-            )
-        )
-        self.request_handler.update_configuration(
-            Configuration.from_parts(
-                1,
-                Limits(16384, 1 << 20, 3.0, 15.0),
-                [
-                    make_route("safe", RouteKind.IDEMPOTENT),
-                    make_route("open", RouteKind.IDEMPOTENT, is_public=True),
-                    make_route("once", RouteKind.ONCE),
-                    make_route("stream", RouteKind.STREAM),
-                    make_route("lots", RouteKind.BATCH),
-                ],
-                [ClientAccount("account", frozenset({"key"}), None)],
-            )
-        )
-
-
-def run_scenario(scenario):
-    async def run_with_server():
-        harness = FrontendHarness()
-        address = free_address()
-        server = await harness.frontend.make_app().create_server(
-            host=address.host,
-            port=address.port,
-            return_asyncio_server=True,
-            access_log=False,
-        )
-        await server.startup()
-        harness.url = f"http://{address.host}:{address.port}"
-        harness.address = address
-        async with aiohttp.ClientSession() as session:
-            harness.session = session
-            try:
-                await asyncio.wait_for(scenario(harness), 10)
-            finally:
-                await server.close()
-
-    asyncio.run(run_with_server())
-
-
-async def post(
-    harness, path, headers=KEY_HEADERS, body=b"body", **extra_headers
-):
-    async with harness.session.post(
-        harness.url + path,
-        data=body,
-        headers={
-            "Host": "host.example",
-            "X-Shallotstand-Attempt-Id": "r1",
-            **headers,
-            **extra_headers,
-        },
-    ) as response:
-        return response, await response.read()
+from .frontend_harness import BATCH, KEY_HEADERS, get, post, run_scenario
 
 
 def test_response_is_forwarded_with_its_signature():
@@ -381,30 +235,6 @@
     ]
 
 
-BATCH = {
-    "step": 1,
-    "model": "model",
-    "min_version": 1,
-    "target_groups": 1,
-    "items": [
-        {
-            "id": "i1",
-            "path": "/lots/1/a",
-            "headers": {"X-Shallotstand-Model": "model"},
-            "body": "q83v",
-            "token_count": 9,
-            "group": "g1",
-            "scorer": {
-                "id": "s1",
-                "host": "host.example",
-                "path": "/safe/1",
-                "body": "3q2+",
-            },
-        }
-    ],
-}
-
-
 def test_batch_is_submitted_read_and_ended():
     async def scenario(harness):
         body = orjson.dumps(BATCH)
@@ -413,7 +243,7 @@
             assert response.status == 202
         result = Result("i1", ResultState.COMPLETED, "text", (1, 2), "seal")
         await harness.log.append(harness.batches.by_id["r1"], [result])
-        page = await _get(harness, "/shallotstand/lots/r1?after=0")
+        page = await get(harness, "/shallotstand/lots/r1?after=0")
         assert orjson.loads(page[1]) == {
             "total": 1,
             "next": 1,
@@ -427,7 +257,7 @@
                 }
             ],
         }
-        item = await _get(harness, "/shallotstand/items/r1?id=i1")
+        item = await get(harness, "/shallotstand/items/r1?id=i1")
         assert item == (200, b"\xab\xcd\xef")
         for _ in range(2):
             async with harness.session.delete(
@@ -442,28 +272,19 @@
 
 def test_unknown_and_invalid_batches_are_refused():
     async def scenario(harness):
-        assert (await _get(harness, "/shallotstand/lots/none"))[0] == 404
-        invalid_position = await _get(
-            harness, "/shallotstand/lots/none?after=x"
-        )
+        assert (await get(harness, "/shallotstand/lots/none"))[0] == 404
+        invalid_position = await get(harness, "/shallotstand/lots/none?after=x")
         assert invalid_position[0] == 400
         duplicate_items = {**BATCH, "items": BATCH["items"] * 2}
         for body in (b"", b"[]", b"{}", orjson.dumps(duplicate_items)):
             response, _ = await post(harness, "/lots/b1", body=body)
             assert response.status == 400
         harness.store.set_down(True)
-        assert (await _get(harness, "/shallotstand/lots/none"))[0] == 503
+        assert (await get(harness, "/shallotstand/lots/none"))[0] == 503
 
     run_scenario(scenario)
 
 
-async def _get(harness, path):
-    async with harness.session.get(
-        harness.url + path, headers={"Host": "host.example", **KEY_HEADERS}
-    ) as response:
-        return response.status, await response.read()
-
-
 async def open_request(harness, header):
     """Sends the head of a request on a connection of its own."""
     reader, writer = await asyncio.open_connection(
