Keep items and scoring requests on routes of their kind

Callers could name any path in an item: one on a route for single requests ran there as an item, streamed and repeated as often as items are, also where a request may run once only; one that no route matches was accepted and lost at the end of its time. A scoring request could name a route for streams or batches.

Cause: the submission was admitted by its own path alone, and runs matched the paths of items with routes of any kind.

A scoring request without a route is still accepted, since its route may be added. Runs match by kind too, for routes that change after the submission; such an item waits as one without a route does.

--- a/libs/batches/src/shallotstand/batches/item_run.py
+++ b/libs/batches/src/shallotstand/batches/item_run.py
@@ -426,7 +426,7 @@
         """Waits until the configuration has the item's route."""
         while True:
             configuration = self._dependencies.configuration()
-            route = configuration.match_route(
+            route = configuration.match_batch_route(
                 self._submission.host, self._item.target
             )
             if not isinstance(route, Failure):
--- a/libs/batches/src/shallotstand/batches/item_scoring.py
+++ b/libs/batches/src/shallotstand/batches/item_scoring.py
@@ -36,7 +36,7 @@
     """
     error_count = 0
     while True:
-        route = configuration().match_route(scorer.host, scorer.target)
+        route = configuration().match_unary_route(scorer.host, scorer.target)
         if isinstance(route, Failure):
             await asyncio.sleep(ROUTE_RETRY_DELAY_S)
             continue
--- a/libs/batches/src/shallotstand/batches/runner.py
+++ b/libs/batches/src/shallotstand/batches/runner.py
@@ -423,7 +423,7 @@
         return not isinstance(self._find_route(batch), Failure)
 
     def _find_route(self, batch: Batch) -> Route | Failure:
-        return self._dependencies.configuration().match_route(
+        return self._dependencies.configuration().match_batch_route(
             batch.submission.host, batch.submission.route_path
         )
 
--- a/libs/dispatch/src/shallotstand/dispatch/config.py
+++ b/libs/dispatch/src/shallotstand/dispatch/config.py
@@ -18,6 +18,10 @@
     BATCH = "batch"
 
 
+# Kinds of routes with unary responses.
+UNARY_KINDS = (RouteKind.IDEMPOTENT, RouteKind.ONCE)
+
+
 class RouteTarget(NamedTuple):
     """A service that receives a share of a route's requests."""
 
@@ -175,6 +179,34 @@
                 return route
         return Failure(ResultCode.ROUTE_UNKNOWN, "No route matches this path.")
 
+    def match_batch_route(self, host: str, path: str) -> Route | Failure:
+        """Returns the route of a batch or of one of its items.
+
+        Errors:
+          ROUTE_UNKNOWN: No route of the host matches the path, or the one that
+            does accepts no batches.
+        """
+        route = self.match_route(host, path)
+        if isinstance(route, Failure) or route.kind is RouteKind.BATCH:
+            return route
+        return Failure(
+            ResultCode.ROUTE_UNKNOWN, "The path's route accepts no batches."
+        )
+
+    def match_unary_route(self, host: str, path: str) -> Route | Failure:
+        """Returns the route of a request with a unary response.
+
+        Errors:
+          ROUTE_UNKNOWN: No route of the host matches the path, or the one that
+            does has other responses.
+        """
+        route = self.match_route(host, path)
+        if isinstance(route, Failure) or route.kind in UNARY_KINDS:
+            return route
+        return Failure(
+            ResultCode.ROUTE_UNKNOWN, "The path's route has no unary responses."
+        )
+
     def batch_route(self, host: str) -> Route | Failure:
         """Returns a route of the host that accepts batches.
 
--- a/libs/dispatch/src/shallotstand/dispatch/request_handler.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_handler.py
@@ -1,6 +1,7 @@
 """Admits callers' requests and dispatches them to endpoints."""
 
-from collections.abc import Callable
+import itertools
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from absl import logging
@@ -54,6 +55,13 @@
         return self.account and self.account.name
 
 
+class HostAndPath(NamedTuple):
+    """What selects a route."""
+
+    host: str
+    path: str
+
+
 class RequestHandler:
     """Admits and serves the requests that one process receives.
 
@@ -131,6 +139,57 @@
             return self._refuse_for_good(request, route)
         return self._authenticate(request, route)
 
+    def check_batch_paths(
+        self,
+        request: CallerRequest,
+        items: Iterable[HostAndPath],
+        scorers: Iterable[HostAndPath],
+    ) -> Failure | None:
+        """Returns why a batch is refused whose items have these paths.
+
+        Args:
+          request: The request that submits the batch; it has been admitted.
+          items: Hosts and paths of the items.
+          scorers: Hosts and paths of the requests that score items.
+
+        Errors:
+          BAD_REQUEST: No route for batches has the path of an item, or the
+            route of a scoring request has no unary responses. The latter may
+            still be added.
+          CONFIG_UNCONFIRMED: So it is, but the store does not confirm the
+            configuration.
+        """
+        configuration = self.configuration
+        problems = itertools.chain(
+            (
+                path
+                for host, path in sorted(set(items))
+                if isinstance(
+                    configuration.match_batch_route(host, path), Failure
+                )
+            ),
+            (
+                path
+                for host, path in sorted(set(scorers))
+                if not isinstance(
+                    configuration.match_route(host, path), Failure
+                )
+                and isinstance(
+                    configuration.match_unary_route(host, path), Failure
+                )
+            ),
+        )
+        path = next(problems, None)
+        if path is None:
+            return None
+        return self._refuse_for_good(
+            request,
+            Failure(
+                ResultCode.BAD_REQUEST,
+                f"The path {path[:80]} can't be that of an item or its scorer.",
+            ),
+        )
+
     def admit_batch_request(
         self, request: CallerRequest
     ) -> AdmittedRequest | Failure:
--- a/tests/adapter/test_batch_content.py
+++ b/tests/adapter/test_batch_content.py
@@ -91,6 +91,28 @@
     submit(changed_batch(scorer={"path": path}), 400)
 
 
+@pytest.mark.parametrize(
+    "path", ["/safe/1", "/once/1", "/stream/1", "/none/1", "/"]
+)
+def test_item_stays_on_routes_for_batches(path):
+    # Guards against items that run, and are repeated, at services that no
+    # batch may use.
+    submit(changed_batch(path=path), 400)
+
+
+@pytest.mark.parametrize("path", ["/lots/1", "/stream/1"])
+def test_scoring_request_stays_on_routes_with_unary_responses(path):
+    # Guards against rollouts that run as scoring requests of no account.
+    submit(changed_batch(scorer={"path": path}), 400)
+
+
+@pytest.mark.parametrize("path", ["/safe/1?a=b", "/once/1", "/later/1"])
+def test_scoring_request_may_name_other_routes(path):
+    # Its route may be added later.
+    item = submit(changed_batch(scorer={"path": path}), 202)
+    assert item.scorer.target == path
+
+
 @pytest.mark.parametrize("host", [None, 5, "", "a b", "a\r\nX: 1"])
 def test_malformed_host_of_a_scoring_request_is_refused(host):
     submit(changed_batch(scorer={"host": host}), 400)
