Share texts of items within one account and one request only

A client account whose item had the identifier, path and body of another account's item got the text of that one, without a run, a request to an engine or a count of usage. An item whose identifier occurred with another body went on from the text of that one after a takeover, and one of the two lost its checkpoint.

Cause: callers choose identifiers of items, but texts in memory, checkpoints and results of other batches were found by the identifier, with the path and body compared in two of the three places and the account in none.

`text_key` holds the account, path and body beside the identifier; the cache and the checkpoints use it as their key, so no place can forget to compare. Checkpoints that an older release wrote are not found under it: their items begin again.

--- a/libs/batches/src/shallotstand/batches/checkpoints.py
+++ b/libs/batches/src/shallotstand/batches/checkpoints.py
@@ -43,17 +43,17 @@
         """
         self._store = store
         self._document = SingleWriterDocument(store, PROGRESS_KIND, instance)
-        self._progress_by_item: dict[str, Progress] = {}
+        self._progress_by_key: dict[str, Progress] = {}
         self._written_event_count = 0
         self._is_stopped = False
 
-    def track(self, item_id: str, progress: Progress) -> None:
-        """Includes the text of an item in the checkpoints."""
-        self._progress_by_item[item_id] = progress
+    def track(self, key: str, progress: Progress) -> None:
+        """Includes a text in the checkpoints, under its `text_key`."""
+        self._progress_by_key[key] = progress
 
-    def untrack(self, item_id: str) -> None:
-        """Excludes the text of an item from later checkpoints."""
-        self._progress_by_item.pop(item_id, None)
+    def untrack(self, key: str) -> None:
+        """Excludes a text from later checkpoints."""
+        self._progress_by_key.pop(key, None)
 
     async def run(self) -> None:
         """Writes checkpoints until cancelled or `write_final` is called."""
@@ -63,7 +63,7 @@
                 return
             event_count = sum(
                 len(progress.events)
-                for progress in self._progress_by_item.values()
+                for progress in self._progress_by_key.values()
             )
             if event_count == self._written_event_count:
                 continue
@@ -102,17 +102,17 @@
         )
 
     async def load(self) -> dict[str, Progress] | Failure:
-        """Returns the longest checkpointed text of each item, by item id."""
+        """Returns the longest checkpointed texts, by `text_key`."""
         listing = await self._store.list(PROGRESS_KIND)
         if isinstance(listing, Failure):
             return listing
         longest: dict[str, Progress] = {}
-        for item_id, progress in itertools.chain.from_iterable(
+        for key, progress in itertools.chain.from_iterable(
             map(_parse_document, listing.documents)
         ):
-            known = longest.get(item_id)
+            known = longest.get(key)
             if known is None or len(known.events) < len(progress.events):
-                longest[item_id] = progress
+                longest[key] = progress
         return longest
 
     def _records(self) -> dict[str, ProgressRecord]:
@@ -120,25 +120,25 @@
         records: dict[str, ProgressRecord] = {}
         size = 0
         longest_first = sorted(
-            self._progress_by_item.items(),
+            self._progress_by_key.items(),
             key=lambda entry: -len(entry[1].events),
         )
-        for item_id, progress in longest_first:
+        for key, progress in longest_first:
             if len(progress.events) < MIN_CHECKPOINT_EVENTS:
                 break
             size += sum(len(event) + 8 for event in progress.events) + 100
             if size > MAX_DOCUMENT_BYTES:
                 break
-            records[item_id] = progress.to_record()
+            records[key] = progress.to_record()
         return records
 
 
 def _parse_document(document: Document) -> list[tuple[str, Progress]]:
-    """Returns the texts in a checkpoint by item; none if it can't be read."""
+    """Returns the texts in a checkpoint by key; none if it can't be read."""
     try:
         return [
-            (item_id, Progress.from_record(record))
-            for item_id, record in document.spec.items()
+            (key, Progress.from_record(record))
+            for key, record in document.spec.items()
         ]
     except MALFORMED_CONTENT as error:
         logs.event(
--- a/libs/batches/src/shallotstand/batches/progress.py
+++ b/libs/batches/src/shallotstand/batches/progress.py
@@ -1,9 +1,7 @@
 """Texts generated so far, cached so that an item can resume."""
 
 import collections
-from typing import NamedTuple, TypedDict
-
-from shallotstand.batches.records import Item
+from typing import TypedDict
 
 # Items of ended batches may be submitted again; their cached texts are reused.
 MAX_CACHED_ITEMS = 2000
@@ -94,37 +92,23 @@
         self.software_version = None
 
 
-class _CachedProgress(NamedTuple):
-    item: Item
-    progress: Progress
-
-
 class ProgressCache:
-    """Texts by item identifier; evicts the oldest first."""
+    """Texts by `text_key`; evicts the oldest first."""
 
     def __init__(self, capacity: int = MAX_CACHED_ITEMS):
         self._capacity = capacity
-        self._cached_by_id: collections.OrderedDict[str, _CachedProgress] = (
+        self._progress_by_key: collections.OrderedDict[str, Progress] = (
             collections.OrderedDict()
         )
 
-    def pop(self, item: Item) -> Progress:
-        """Removes and returns the text of an item.
+    def pop(self, key: str) -> Progress:
+        """Removes and returns a text; it is empty if none is cached."""
+        return self._progress_by_key.pop(key, None) or Progress()
 
-        The text is empty if none is cached for the same request.
-        """
-        cached = self._cached_by_id.pop(item.id, None)
-        if cached is None or (cached.item.target, cached.item.body) != (
-            item.target,
-            item.body,
-        ):
-            return Progress()
-        return cached.progress
-
-    def put(self, item: Item, progress: Progress) -> None:
-        """Stores the text of an item unless it is empty."""
+    def put(self, key: str, progress: Progress) -> None:
+        """Stores a text unless it is empty."""
         if not progress.events:
             return
-        self._cached_by_id[item.id] = _CachedProgress(item, progress)
-        while len(self._cached_by_id) > self._capacity:
-            self._cached_by_id.popitem(last=False)
+        self._progress_by_key[key] = progress
+        while len(self._progress_by_key) > self._capacity:
+            self._progress_by_key.popitem(last=False)
--- a/libs/batches/src/shallotstand/batches/records.py
+++ b/libs/batches/src/shallotstand/batches/records.py
@@ -2,6 +2,7 @@
 
 import base64
 import enum
+import hashlib
 from typing import Any, NamedTuple
 
 # Kind of the log entries that every process watches: `ID.0` is the submission,
@@ -14,6 +15,7 @@
 END_SUFFIX = "end"
 # Below the store's limit for a value; leaves room for metadata.
 MAX_ENTRY_BYTES = 900_000
+_DIGEST_BYTES = 12
 
 
 class ScoringRequest(NamedTuple):
@@ -122,6 +124,22 @@
     results: tuple[Result, ...]
 
 
+def text_key(account: str, item: Item) -> str:
+    """Returns the key of an item's text, which only the same request shares.
+
+    Callers choose the identifiers of items, so those of two client accounts, or
+    of two requests of one account, may be equal.
+
+    Args:
+      account: Client account that owns the item's batch.
+      item: The item.
+    """
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for part in (account.encode(), item.target.encode(), item.body):
+        digest.update(len(part).to_bytes(8, "little") + part)
+    return f"{item.id} {digest.hexdigest()}"
+
+
 def entry_kind(suffix: str | int) -> str:
     """Returns the kind under which an entry is stored."""
     is_watched = suffix in (SUBMISSION_SUFFIX, END_SUFFIX)
--- a/libs/batches/src/shallotstand/batches/registry.py
+++ b/libs/batches/src/shallotstand/batches/registry.py
@@ -171,13 +171,23 @@
         """Returns whether a batch read after the given one has the item."""
         return self._latest_batch_by_item.get(item_id, batch_id) != batch_id
 
-    def find_reusable_result(self, item: Item, batch_id: str) -> Result | None:
-        """Returns the result of the same request in another batch, if any."""
+    def find_reusable_result(
+        self, item: Item, own_batch: Batch
+    ) -> Result | None:
+        """Returns the result of the same request in another batch, if any.
+
+        Args:
+          item: The item that contains the request.
+          own_batch: The batch that contains the item. Only batches of the same
+            client account are searched.
+        """
+        account = own_batch.submission.account
         for batch in self.by_id.values():
             known = batch.items_by_id.get(item.id)
             if (
                 known is None
-                or batch.id == batch_id
+                or batch.id == own_batch.id
+                or batch.submission.account != account
                 or item.id not in batch.listed_ids
                 or not _is_same_request(known, item)
             ):
--- a/libs/batches/src/shallotstand/batches/runner.py
+++ b/libs/batches/src/shallotstand/batches/runner.py
@@ -10,7 +10,7 @@
 from shallotstand.batches.item_run import ItemRun, ItemRunDependencies
 from shallotstand.batches.peer_reads import RunningBatch
 from shallotstand.batches.progress import Progress, ProgressCache
-from shallotstand.batches.records import Item, Result, ResultState
+from shallotstand.batches.records import Item, Result, ResultState, text_key
 from shallotstand.batches.registry import Batch, BatchRegistry
 from shallotstand.core import logs
 from shallotstand.core.codes import ResultCode
@@ -153,12 +153,14 @@
         items_by_id = running.batch.items_by_id
         for item_id, progress in running.progress_by_item.items():
             if item_id in items_by_id:
-                self._progress_cache.put(items_by_id[item_id], progress)
+                self._progress_cache.put(
+                    _text_key(running.batch, items_by_id[item_id]), progress
+                )
         self._handed_on_ids.add(running.batch.id)
 
     def _pop_texts(self, batch: Batch) -> dict[str, Progress]:
         texts = {
-            item.id: self._progress_cache.pop(item)
+            item.id: self._progress_cache.pop(_text_key(batch, item))
             for item in batch.unlisted_items()
         }
         return {
@@ -313,22 +315,22 @@
 
     async def _load_progress(self, batch: Batch) -> None:
         """Loads the texts of a batch that other processes checkpointed."""
-        progress_by_item = await self._checkpoints.load()
-        if isinstance(progress_by_item, Failure):
+        progress_by_key = await self._checkpoints.load()
+        if isinstance(progress_by_key, Failure):
             return
-        resumed = [
-            item
+        resumed = {
+            key: progress_by_key[key]
             for item in batch.unlisted_items()
-            if item.id in progress_by_item
-        ]
-        for item in resumed:
-            self._progress_cache.put(item, progress_by_item[item.id])
+            if (key := _text_key(batch, item)) in progress_by_key
+        }
+        for key, progress in resumed.items():
+            self._progress_cache.put(key, progress)
         logs.event(
             logging.INFO,
             "Texts taken over",
             batch=batch.id,
             texts=len(resumed),
-            events=sum(len(progress_by_item[i.id].events) for i in resumed),
+            events=sum(len(progress.events) for progress in resumed.values()),
         )
 
     async def _list_results(
@@ -365,7 +367,8 @@
             progress,
             self._rank(batch, item),
         )
-        self._checkpoints.track(item.id, progress)
+        key = _text_key(batch, item)
+        self._checkpoints.track(key, progress)
         try:
             async with asyncio.timeout(self._time_left_s(batch)):
                 result = await run.run()
@@ -383,14 +386,14 @@
             )
             result = Result(item.id, ResultState.LOST, "", (), "")
         finally:
-            self._progress_cache.put(item, progress)
-            self._checkpoints.untrack(item.id)
+            self._progress_cache.put(key, progress)
+            self._checkpoints.untrack(key)
         finished.put_nowait(result)
 
     def _initial_progress(self, batch: Batch, item: Item) -> Progress:
-        reusable = self._batch_registry.find_reusable_result(item, batch.id)
+        reusable = self._batch_registry.find_reusable_result(item, batch)
         if reusable is None or reusable.state is not ResultState.COMPLETED:
-            return self._progress_cache.pop(item)
+            return self._progress_cache.pop(_text_key(batch, item))
         progress = Progress()
         progress.events = [reusable.text]
         progress.versions = list(reusable.versions)
@@ -432,6 +435,10 @@
         return self._dependencies.clock.wall() - batch.submission.submitted_at
 
 
+def _text_key(batch: Batch, item: Item) -> str:
+    return text_key(batch.submission.account, item)
+
+
 def _listing_delay_s(batch: Batch) -> float:
     unlisted_count = len(batch.items_by_id) - len(batch.listed_ids)
     if unlisted_count <= FINAL_ITEMS_SHARE * len(batch.items_by_id):
--- a/libs/batches/tests/test_runner.py
+++ b/libs/batches/tests/test_runner.py
@@ -15,73 +15,16 @@
     Result,
     ResultState,
     entry_name,
+    text_key,
 )
 from shallotstand.batches.registry import BatchRegistry
-from shallotstand.batches.runner import (
-    REVIEW_INTERVAL_S,
-    UNCLAIMED_TIMEOUT_S,
-    BatchRunner,
-)
+from shallotstand.batches.runner import REVIEW_INTERVAL_S, UNCLAIMED_TIMEOUT_S
 from shallotstand.core.codes import ResultCode
 from shallotstand.documents.protocols import Change
-from shallotstand.standins.memory_engines import (
-    MemoryStream,
-    make_endpoint,
-    numbered_events,
-)
+from shallotstand.standins.memory_engines import MemoryStream, numbered_events
 
 from .conftest import item, submission
-
-
-class OwnsEveryBatch:
-    """An ownership under which this process runs every batch."""
-
-    def should_run(self, batch):
-        return True
-
-    def may_take_over(self, batch_id):
-        return True
-
-    def was_claimed(self, batch_id):
-        return batch_id == "claimed"
-
-
-def run(environment, scenario):
-    environment.endpoint_registry.update_endpoint(make_endpoint("a"))
-    environment.endpoint_registry.update_endpoint(
-        make_endpoint("s", service="plain", version_by_model={})
-    )
-    environment.engines.stream = lambda _: MemoryStream(
-        numbered_events(1, 2), 1
-    )
-
-    async def start():
-        runner = BatchRunner(
-            environment.dependencies,
-            environment.batch_registry,
-            environment.log,
-            OwnsEveryBatch(),
-            Checkpoints(environment.store, "node-1"),
-            "gateway-1",
-            environment.log.read,
-        )
-        task = asyncio.create_task(runner.run())
-        try:
-            await asyncio.wait_for(scenario(runner), 10)
-        finally:
-            task.cancel()
-            await runner.stop()
-
-    asyncio.run(start())
-
-
-async def until(condition):
-    while not condition():
-        await asyncio.sleep(0.01)
-
-
-def make_deadline(environment):
-    return environment.dependencies.clock.monotonic() + 1
+from .runner_harness import make_deadline, run, until
 
 
 def test_every_item_is_listed(environment):
@@ -253,7 +196,8 @@
         await runner.stop()
         await asyncio.sleep(CHECKPOINT_INTERVAL_S * 1.2)
         loaded = await checkpoints.load()
-        assert len(loaded["a"].events) == 9
+        key = text_key("account", item("a"))
+        assert len(loaded[key].events) == 9
         assert writing.done()
 
     run(environment, scenario)
@@ -372,7 +316,7 @@
         progress = Progress()
         progress.events = [event.data for event in numbered_events(1, 8)]
         progress.versions = [1] * 8
-        other.track("a", progress)
+        other.track(text_key("account", item("a")), progress)
         writing = asyncio.create_task(other.run())
         await until(
             lambda: environment.store.call_counts["create", PROGRESS_KIND]
