Let the key alone decide who reads and ends a batch

Waiting reads were answered, but the next one was refused.

Cause: the batch API asked for a route of the host that accepts batches now, only to learn whether that route needs a key. The route of a batch may change while the batch is readable, and the batch belongs to an account, not to a route.

`authenticate_batch_owner` finds the account by the key and asks for no route. A key of another account gets 404 as before, a key that is none gets 401, unless a public route of the host accepts batches, whose requests have no account. Without a key, a batch that was submitted without one is still readable after its public route is gone; otherwise the answer is 401, also where no such batch exists, so that nobody learns which batches there are. Refusals that a newer configuration may lift still get 503 while the store does not confirm the configuration.

--- a/libs/dispatch/src/shallotstand/dispatch/config.py
+++ b/libs/dispatch/src/shallotstand/dispatch/config.py
@@ -207,17 +207,11 @@
             ResultCode.ROUTE_UNKNOWN, "The path's route has no unary responses."
         )
 
-    def batch_route(self, host: str) -> Route | Failure:
-        """Returns a route of the host that accepts batches.
-
-        Errors:
-          ROUTE_UNKNOWN: No route of the host accepts batches.
-        """
-        for route in self.routes_by_host.get(host, ()):
-            if route.kind is RouteKind.BATCH:
-                return route
-        return Failure(
-            ResultCode.ROUTE_UNKNOWN, "The host does not accept batches."
+    def has_public_batch_route(self, host: str) -> bool:
+        """Returns whether batches of the host need no API key."""
+        return any(
+            route.is_public and route.kind is RouteKind.BATCH
+            for route in self.routes_by_host.get(host, ())
         )
 
     def authenticate(
@@ -238,10 +232,16 @@
             return account
         if route.is_public or not self.accounts_by_name:
             return None
-        if not key:
-            return Failure(
-                ResultCode.KEY_MISSING, "The route requires an API key."
-            )
-        return Failure(
-            ResultCode.KEY_UNKNOWN, "The API key belongs to no client account."
-        )
+        return unknown_key_failure() if key else missing_key_failure()
+
+
+def missing_key_failure() -> Failure:
+    """Returns the refusal of a request without an API key."""
+    return Failure(ResultCode.KEY_MISSING, "An API key is required.")
+
+
+def unknown_key_failure() -> Failure:
+    """Returns the refusal of a request whose API key is not valid."""
+    return Failure(
+        ResultCode.KEY_UNKNOWN, "The API key belongs to no client account."
+    )
--- a/libs/dispatch/src/shallotstand/dispatch/request_handler.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_handler.py
@@ -9,7 +9,13 @@
 from shallotstand.core.clock import Clock
 from shallotstand.core.codes import ResultCode
 from shallotstand.core.failure import Failure
-from shallotstand.dispatch.config import ClientAccount, Configuration, Route
+from shallotstand.dispatch.config import (
+    ClientAccount,
+    Configuration,
+    Route,
+    missing_key_failure,
+    unknown_key_failure,
+)
 from shallotstand.dispatch.cost_tracking import traits_of
 from shallotstand.dispatch.crash_guard import CrashRecordGuard
 from shallotstand.dispatch.crash_record import CrashRecord
@@ -62,6 +68,19 @@
     path: str
 
 
+class BatchOwner(NamedTuple):
+    """Whose batches a request is about.
+
+    Attributes:
+      account_name: Name of the client account; empty for batches that were
+        submitted without one.
+      refusal: Answer if there is no such batch; None for that of the lookup.
+    """
+
+    account_name: str
+    refusal: Failure | None
+
+
 class RequestHandler:
     """Admits and serves the requests that one process receives.
 
@@ -190,23 +209,46 @@
             ),
         )
 
-    def admit_batch_request(
+    def authenticate_batch_owner(
         self, request: CallerRequest
-    ) -> AdmittedRequest | Failure:
-        """Determines the route and the client account of a batch API request.
+    ) -> BatchOwner | Failure:
+        """Determines whose batches a request to the batch API is about.
+
+        The key alone decides. The route of a batch may have changed or gone
+        since the batch was accepted.
 
         Errors:
-          The same as for `admit`.
+          CONFIG_UNCONFIRMED: No configuration has been received yet, or the
+            store does not confirm the one that refuses the request.
+          KEY_UNKNOWN: The API key belongs to no client account.
         """
-        if self.configuration is None:
+        configuration = self.configuration
+        if configuration is None:
             return Failure(
                 ResultCode.CONFIG_UNCONFIRMED,
                 "No configuration has been received yet.",
             )
-        route = self.configuration.batch_route(request.host)
-        if isinstance(route, Failure):
-            return self._refuse_for_good(request, route)
-        return self._authenticate(request, route)
+        account = configuration.account_by_key.get(request.key)
+        if account is not None:
+            return BatchOwner(account.name, None)
+        if not configuration.accounts_by_name:
+            return BatchOwner("", None)
+        if request.key and not configuration.has_public_batch_route(
+            request.host
+        ):
+            return self._refuse_for_good(request, unknown_key_failure())
+        return BatchOwner("", missing_key_failure())
+
+    def refuse_batch_request(
+        self, request: CallerRequest, owner: BatchOwner, failure: Failure
+    ) -> Failure:
+        """Returns the refusal of a request about a batch.
+
+        A caller without an account learns only that a key is required.
+        """
+        if failure.code != ResultCode.BATCH_UNKNOWN or owner.refusal is None:
+            return failure
+        return self._refuse_for_good(request, owner.refusal)
 
     async def serve(
         self, request: CallerRequest, admitted: AdmittedRequest
