Answer a batch that is submitted again whatever became of its route

A caller whose connection broke before the 202 and who submitted its batch again got 404, as if the batch did not run, if the operator had removed or moved the route meanwhile. On a route that had become one for single requests, the batch was passed on to an engine as a single request.

A submission was matched with the routes of now before the log was asked whether it had been accepted.

A POST whose identifier is that of a batch of which the gateway has heard, from the same account, to the same host and path, gets 202 before routes are looked at. Other requests cost a lookup in three sets; none leads to a read of the store.

--- a/libs/batches/src/shallotstand/batches/registry.py
+++ b/libs/batches/src/shallotstand/batches/registry.py
@@ -130,6 +130,14 @@
         # read, from the store or a peer, and must not run then.
         self._ended_unread_ids: set[str] = set()
 
+    def is_known(self, batch_id: str) -> bool:
+        """Returns whether the log has the batch, read or not."""
+        return (
+            batch_id in self.by_id
+            or batch_id in self.unread_ids
+            or batch_id in self._ended_unread_ids
+        )
+
     def subscribe(self, listener: Callable[[Batch], None]) -> None:
         """Registers a listener for batches that are added, ended or removed."""
         self._listeners.append(listener)
--- a/libs/batches/src/shallotstand/batches/service.py
+++ b/libs/batches/src/shallotstand/batches/service.py
@@ -116,6 +116,43 @@
         self._start_hand_over(batch.submission)
         return _check_account(batch, submission.account)
 
+    def is_known(self, batch_id: str) -> bool:
+        """Returns whether this process has heard of the batch."""
+        return self._batch_registry.is_known(batch_id)
+
+    async def confirm_submission(
+        self, account: str, batch_id: str, host: str, route_path: str
+    ) -> bool | Failure:
+        """Returns whether the same batch has been accepted before.
+
+        Args:
+          account: Client account of the caller.
+          batch_id: Identifier of the batch.
+          host: Host to which it is submitted.
+          route_path: Path to which it is submitted.
+
+        Errors:
+          STORE_UNAVAILABLE: The store could not be read.
+        """
+        batch = await self.load(batch_id)
+        if isinstance(batch, Failure):
+            return False if batch.code == ResultCode.BATCH_UNKNOWN else batch
+        submission = batch.submission
+        if (account, host, route_path) != (
+            submission.account,
+            submission.host,
+            submission.route_path,
+        ):
+            return False
+        logs.event(
+            logging.INFO,
+            "Batch was accepted before",
+            batch=batch_id,
+            account=account,
+        )
+        self._start_hand_over(submission)
+        return True
+
     def _start_hand_over(self, submission: Submission) -> None:
         """Hands a batch over to its owner in the background.
 
--- a/tests/adapter/test_batch_access.py
+++ b/tests/adapter/test_batch_access.py
@@ -85,6 +85,46 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("change", CHANGES)
+def test_batch_is_accepted_again_without_its_route(change):
+    # Guards against a caller whose connection broke before the answer and who
+    # is then told that its batch does not run, or whose batch runs as a single
+    # request on a route of another kind.
+    async def scenario(harness):
+        harness.configure(ROUTES, KEYS)
+        await submit(harness)
+        harness.configure(CHANGES[change], KEYS)
+        await submit(harness, has_result=False)
+        await assert_readable(harness)
+        assert not harness.engines.sent
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/lots/b1", OTHER_KEY, 404),
+        ("/lots/b1", {}, 404),
+        ("/lots/b2", KEY_HEADERS, 404),
+        ("/safe/b1", KEY_HEADERS, 200),
+    ],
+)
+def test_other_request_with_the_identifier_is_not_the_batch(
+    path, headers, status
+):
+    # Guards against an account that learns of the batches of another, and
+    # against requests that are answered in place of being run.
+    async def scenario(harness):
+        harness.configure(ROUTES, KEYS)
+        await submit(harness)
+        harness.configure(OTHER_ROUTES, KEYS)
+        response, _ = await post(harness, path, headers)
+        assert response.status == status
+
+    run_scenario(scenario)
+
+
 def test_read_that_waits_outlives_the_route():
     # Guards against a wait that ends without the result that it waits for.
     async def scenario(harness):
--- a/tests/test_batches_without_route.py
+++ b/tests/test_batches_without_route.py
@@ -64,10 +64,10 @@
             await asyncio.sleep(0.1)
 
 
-async def submit(fleet, batch_id):
+async def submit(fleet, batch_id, gateway=None):
     fields = batch_submission(ITEMS, id_prefix=f"{batch_id}-")
     status, _ = await fleet.call(
-        fleet.gateways[0],
+        gateway or fleet.gateways[0],
         "POST",
         "/rollouts/1",
         batch_id,
@@ -108,6 +108,7 @@
                     assert answer == (200, known), (change, gateway.node)
                 body = await fleet.call(gateway, "GET", item_path)
                 assert body == (200, b"\xab\xcd\xef"), (change, gateway.node)
+                await submit(fleet, "batch", gateway)
                 for path in (results_path("batch", 0), item_path):
                     status, _ = await fleet.call(
                         gateway, "GET", path, key=OTHER_ACCOUNT["api_keys"][0]
