Refuse calls without an account before the store is asked; log refusals

A caller without an API key had a gateway read the store for each batch that it named, and got 401 after that.

Cause: a batch that was submitted without an account stays readable without a key after its public route is gone, which only the batch itself tells.

Evidence: `test_caller_without_an_account_causes_no_read_of_the_store` failed for a caller without a key.

Each gateway knows the names of all batches in the log. Without a key, on a host without a public route for batches, a batch that the gateway has not heard of is refused at once. On hosts with such a route the answers are 404 again, as before.

Refusals of batch contents, of the batch API and of paths of the platform's calls had no log line. They have one now, which also holds the path.

--- a/libs/dispatch/src/shallotstand/dispatch/request_handler.py
+++ b/libs/dispatch/src/shallotstand/dispatch/request_handler.py
@@ -38,6 +38,8 @@
 
 # A request may take this many times as long as usual at the slowest endpoint.
 DURATION_MARGIN = 2.0
+# Most characters of a path that a log line or an error quotes.
+MAX_LOGGED_PATH = 80
 
 
 class AdmittedRequest(NamedTuple):
@@ -74,7 +76,8 @@
     Attributes:
       account_name: Name of the client account; empty for batches that were
         submitted without one.
-      refusal: Answer if there is no such batch; None for that of the lookup.
+      refusal: Answer to a caller that needs an account and has none, if this
+        process has not heard of the batch; None for other callers.
     """
 
     account_name: str
@@ -205,7 +208,8 @@
             request,
             Failure(
                 ResultCode.BAD_REQUEST,
-                f"The path {path[:80]} can't be that of an item or its scorer.",
+                f"The path {path[:MAX_LOGGED_PATH]} can't be that of an item "
+                "or its scorer.",
             ),
         )
 
@@ -231,11 +235,10 @@
         account = configuration.account_by_key.get(request.key)
         if account is not None:
             return BatchOwner(account.name, None)
-        if not configuration.accounts_by_name:
+        needs_no_key = not configuration.accounts_by_name
+        if needs_no_key or configuration.has_public_batch_route(request.host):
             return BatchOwner("", None)
-        if request.key and not configuration.has_public_batch_route(
-            request.host
-        ):
+        if request.key:
             return self._refuse_for_good(request, unknown_key_failure())
         return BatchOwner("", missing_key_failure())
 
@@ -246,9 +249,9 @@
 
         A caller without an account learns only that a key is required.
         """
-        if failure.code != ResultCode.BATCH_UNKNOWN or owner.refusal is None:
-            return failure
-        return self._refuse_for_good(request, owner.refusal)
+        if failure.code == ResultCode.BATCH_UNKNOWN and owner.refusal:
+            return self._refuse_for_good(request, owner.refusal)
+        return self._refuse(request, failure)
 
     async def serve(
         self, request: CallerRequest, admitted: AdmittedRequest
@@ -392,6 +395,7 @@
             logging.INFO,
             "Request refused",
             request=request.request_id,
+            path=request.path[:MAX_LOGGED_PATH],
             code=int(failure.code),
             reason=failure.reason,
             config_version=self.configuration.version,
--- a/tests/adapter/test_batch_access.py
+++ b/tests/adapter/test_batch_access.py
@@ -4,8 +4,15 @@
 
 import orjson
 import pytest
-from shallotstand.batches.records import Result, ResultState
+from shallotstand.batches.records import (
+    BATCH_LOG_KIND,
+    SUBMISSION_SUFFIX,
+    Result,
+    ResultState,
+    entry_name,
+)
 from shallotstand.dispatch.config import RouteKind, RouteTarget
+from shallotstand.documents.protocols import Document
 
 from .frontend_harness import (
     BATCH,
@@ -205,8 +212,12 @@
         harness.configure([*OTHER_ROUTES, public], KEYS)
         await submit(harness, headers={})
         await assert_readable(harness, {})
+        harness.start_without_batches()
+        await assert_readable(harness, {})
         harness.configure(OTHER_ROUTES, KEYS)
         harness.start_without_batches()
+        name = entry_name("r1", SUBMISSION_SUFFIX)
+        harness.batches.apply(Document(BATCH_LOG_KIND, name, 1, None))
         await assert_readable(harness, {})
         assert (await get(harness, PAGE_PATH, KEY_HEADERS))[0] == 404
 
@@ -246,6 +257,18 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("headers", [{}, {"Authorization": "Token none"}])
+def test_caller_without_an_account_causes_no_read_of_the_store(headers):
+    # Guards against load on the store by callers that may not read anything.
+    async def scenario(harness):
+        for path in (PAGE_PATH, ITEM_PATH):
+            assert (await get(harness, path, headers))[0] == 401
+        assert (await get(harness, BATCH_PATH, headers, "DELETE"))[0] == 401
+        assert not harness.store.call_counts
+
+    run_scenario(scenario)
+
+
 @pytest.mark.parametrize("position", ["x", "-1", "\u00b2", "9" * 40])
 def test_malformed_position_is_refused(position):
     async def scenario(harness):
