--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -149,12 +149,12 @@
         await stop_amid_calls(fleet, caller, before_s=0.0)
         stop = read_stop(fleet.gateways[0])
         assert stop["time"] - signalled_at < REFUSED_WITHIN_S
-        known_before = {f"c{i}" for i in range(stop["in_progress"])}
+        passed_on_before = {f"c{i}" for i in range(stop["in_progress"])}
         ran = set(engine.started_requests)
         assert not [
             call
             for call in caller.calls
-            if call.request_id in ran - known_before and call.status != 200
+            if call.request_id in ran - passed_on_before and call.status != 200
         ]
 
     run_scenario(directory, scenario, answer_s=7.5)
